--- /dev/null
+++ b/src/main/java/org/eiderstair/config/PlatformFile.java
@@ -0,0 +1,150 @@
+package org.eiderstair.config;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.eiderstair.core.Settings;
+
+/** Reads the settings file that the platform hands over. Fields it does not know are ignored. */
+public final class PlatformFile {
+  private PlatformFile() {}
+
+  public static NodeConfig read(Path file, Settings.Tuning tuning) throws BadConfig {
+    JsonNode root;
+    try {
+      root = new TomlMapper().readTree(Files.readString(file));
+    } catch (JsonProcessingException e) {
+      throw new BadConfig(file + ": not TOML: " + e.getOriginalMessage());
+    } catch (IOException e) {
+      throw new BadConfig(file + ": cannot be read: " + e.getMessage());
+    }
+    JsonNode settings = table(root, "settings");
+    JsonNode workers = table(settings, "settings.workers", "workers");
+    JsonNode state = table(settings, "settings.state", "state");
+    JsonNode cloud = table(settings, "settings.cloud", "cloud");
+    JsonNode resources = settings.path("resources");
+    JsonNode endpoints = table(root, "endpoints");
+    List<String> peers = new ArrayList<>();
+    Map<String, String> peerAddresses = new LinkedHashMap<>();
+    for (JsonNode peer : root.path("others")) {
+      String name = text(peer, "others.node", "node");
+      peers.add(name);
+      peerAddresses.put(name, address(peer, "others.address", "address"));
+    }
+    List<String> zones = new ArrayList<>();
+    settings.path("zones").forEach(z -> zones.add(z.asText()));
+    if (zones.isEmpty()) {
+      throw new BadConfig("settings.zones: missing or empty");
+    }
+    long lease = micros(workers, "settings.workers.lease_s", "lease_s");
+    long cancel = micros(workers, "settings.workers.cancel_s", "cancel_s");
+    if (cancel <= lease) {
+      throw new BadConfig("settings.workers.cancel_s: must be longer than lease_s");
+    }
+    Settings core = new Settings(text(root, "node", "node"), peers, zones, teams(settings), objectives(settings),
+        micros(workers, "settings.workers.report_s", "report_s"), lease, cancel,
+        positive(state, "settings.state.rps", "rps"), positive(state, "settings.state.write_rps", "write_rps"),
+        (int) (positive(state, "settings.state.value_kb", "value_kb") * 1024),
+        (int) positive(state, "settings.state.txn_ops", "txn_ops"), positive(cloud, "settings.cloud.rps", "rps"),
+        micros(cloud, "settings.cloud.list_lag_s", "list_lag_s"), tuning);
+    String bind = address(root, "bind", "bind");
+    String peerBind = address(root, "peer_bind", "peer_bind");
+    return new NodeConfig(core, host(bind), port(bind), host(peerBind), port(peerBind),
+        address(endpoints, "endpoints.state", "state"), address(endpoints, "endpoints.cloud", "cloud"), peerAddresses,
+        resources.path("max_connections").asInt(0));
+  }
+
+  private static Map<String, Settings.Team> teams(JsonNode settings) throws BadConfig {
+    Map<String, Settings.Team> teams = new LinkedHashMap<>();
+    for (JsonNode t : settings.path("teams")) {
+      String name = text(t, "settings.teams.name", "name");
+      teams.put(name, new Settings.Team(name, amount(t, "settings.teams.cpus", "cpus"),
+          amount(t, "settings.teams.cpus_max", "cpus_max"), amount(t, "settings.teams.gpus", "gpus"),
+          amount(t, "settings.teams.gpus_max", "gpus_max")));
+    }
+    if (teams.isEmpty()) {
+      throw new BadConfig("settings.teams: missing or empty");
+    }
+    return teams;
+  }
+
+  private static List<Settings.Objective> objectives(JsonNode settings) {
+    List<Settings.Objective> objectives = new ArrayList<>();
+    for (JsonNode o : settings.path("objectives")) {
+      objectives.add(new Settings.Objective(o.path("kind").asText(""), o.path("class").asText(""),
+          Math.round(o.path("within_s").asDouble(0) * 1e6), o.path("share").asDouble(0)));
+    }
+    return objectives;
+  }
+
+  private static JsonNode table(JsonNode parent, String name) throws BadConfig {
+    return table(parent, name, name);
+  }
+
+  private static JsonNode table(JsonNode parent, String where, String name) throws BadConfig {
+    JsonNode node = parent.path(name);
+    if (!node.isObject()) {
+      throw new BadConfig(where + ": missing or not a table");
+    }
+    return node;
+  }
+
+  private static String text(JsonNode parent, String where, String name) throws BadConfig {
+    JsonNode node = parent.path(name);
+    if (!node.isTextual() || node.asText().isEmpty()) {
+      throw new BadConfig(where + ": missing or not text");
+    }
+    return node.asText();
+  }
+
+  private static double amount(JsonNode parent, String where, String name) throws BadConfig {
+    JsonNode node = parent.path(name);
+    if (node.isMissingNode()) {
+      return 0;
+    }
+    if (!node.isNumber() || !(node.asDouble() >= 0) || node.asDouble() > 1e9) {
+      throw new BadConfig(where + ": not an amount");
+    }
+    return node.asDouble();
+  }
+
+  private static double positive(JsonNode parent, String where, String name) throws BadConfig {
+    double amount = amount(parent, where, name);
+    if (amount <= 0) {
+      throw new BadConfig(where + ": missing or not above 0");
+    }
+    return amount;
+  }
+
+  private static long micros(JsonNode parent, String where, String name) throws BadConfig {
+    return Math.round(positive(parent, where, name) * 1e6);
+  }
+
+  private static String address(JsonNode parent, String where, String name) throws BadConfig {
+    String address = text(parent, where, name);
+    int colon = address.lastIndexOf(':');
+    try {
+      if (colon > 0 && Integer.parseInt(address.substring(colon + 1)) <= 65535) {
+        return address;
+      }
+    } catch (NumberFormatException e) {
+      // Told below, with the field's name.
+    }
+    throw new BadConfig(where + ": not an address of the form host:port");
+  }
+
+  private static String host(String address) {
+    return address.substring(0, address.lastIndexOf(':'));
+  }
+
+  private static int port(String address) {
+    return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/eiderstair/core/Answer.java
@@ -0,0 +1,23 @@
+package org.eiderstair.core;
+
+import java.util.List;
+
+/** What a node says to a user, a worker or a health check. */
+public sealed interface Answer {
+
+  /** A job as its user sees it. */
+  record JobView(int status, String id, Phase phase, int done, int running) implements Answer {}
+
+  enum Phase { PENDING, RUNNING, DONE, CANCELLED }
+
+  /** An error the user can act on; retryAfterS of 0 means none is given. */
+  record Failure(int status, String reason, int retryAfterS) implements Answer {}
+
+  /** To a worker: stay here, and do this. */
+  record Command(long token, List<Order> orders) implements Answer {}
+
+  /** To a worker: report elsewhere; null when this node knows no better place. */
+  record Redirect(String node) implements Answer {}
+
+  record Ready(boolean ready) implements Answer {}
+}
--- /dev/null
+++ b/src/main/java/org/eiderstair/core/Attempt.java
@@ -0,0 +1,38 @@
+package org.eiderstair.core;
+
+/** One try at running a task on one machine. Its number is never used again, in any term. */
+final class Attempt {
+
+  /**
+   * QUEUED waits at the leader for room on its machine; PLANNED goes with the next command to it; SENT may or may not be on the machine; SEEN was shown
+   * by the machine.
+   */
+  enum Phase { QUEUED, PLANNED, SENT, SEEN }
+
+  final Job job;
+  final int index;
+  final long number;
+  final Machine machine;
+  /** Kept here since the job's own description goes when the job is over, before its tasks are. */
+  final JobSpec spec;
+  Phase phase;
+  MachineReport.TaskState shown;
+  long sinceMicros;
+  long runningSinceMicros;
+  /** Asked to make room for other work. */
+  boolean stop;
+
+  Attempt(Job job, int index, long number, Machine machine, Phase phase, long nowMicros) {
+    this.job = job;
+    this.index = index;
+    this.number = number;
+    this.machine = machine;
+    this.spec = job.spec();
+    this.phase = phase;
+    this.sinceMicros = nowMicros;
+  }
+
+  TaskId task() {
+    return new TaskId(job.id, index);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/eiderstair/core/Core.java
@@ -0,0 +1,101 @@
+package org.eiderstair.core;
+
+import java.util.function.Consumer;
+import java.util.function.IntUnaryOperator;
+
+/**
+ * One controller without input, output, clock or thread: events come in with the time, effects go out. Given
+ * the same events, times and random numbers it does the same again.
+ */
+public final class Core implements Replica.Listener, Leadership.Listener {
+  private final Settings settings;
+  private final Ports ports;
+  private final IntUnaryOperator random;
+  private final Replica replica;
+  private final Desk desk;
+  private final Leadership leadership;
+  private Scheduler scheduler;
+  private long now;
+
+  /**
+   * @param incarnation differs for every run of a node, so that it can tell its own earlier runs
+   * @param random a uniformly random number below its argument
+   */
+  public Core(Settings settings, String incarnation, IntUnaryOperator random, Consumer<Effect> effects) {
+    this.settings = settings;
+    this.random = random;
+    this.ports = new Ports(effects);
+    this.replica = new Replica(ports, this);
+    this.desk = new Desk(settings, ports, replica);
+    this.leadership = new Leadership(settings, ports, replica, incarnation, this);
+  }
+
+  public void handle(Event event, long nowMicros) {
+    now = nowMicros;
+    replica.at(now);
+    if (event instanceof Event.Replied replied) {
+      ports.replied(replied.call(), replied.reply());
+    } else if (event instanceof Event.Reported reported) {
+      ports.respond(reported.exchange(), reported(reported));
+    } else if (event instanceof Event.Poll poll) {
+      desk.poll(poll.exchange(), poll.id());
+    } else if (event instanceof Event.Submit submit) {
+      desk.submit(submit.exchange(), submit.id(), submit.spec(), submit.fault());
+    } else if (event instanceof Event.Cancel cancel) {
+      desk.cancel(cancel.exchange(), cancel.id());
+    } else if (event instanceof Event.ReadyProbe probe) {
+      ports.respond(probe.exchange(), new Answer.Ready(replica.loaded()));
+    }
+    tick();
+  }
+
+  private void tick() {
+    replica.tick(now);
+    leadership.tick(now);
+    desk.tick(now);
+    if (scheduler != null) {
+      scheduler.tick(now);
+    }
+  }
+
+  private Answer reported(Event.Reported event) {
+    if (scheduler != null && leadership.inOffice()) {
+      return scheduler.reported(event.report(), now);
+    }
+    Replica.Leader leader = replica.leader();
+    boolean elsewhere = leader != null && !leader.node().equals(settings.node());
+    return new Answer.Redirect(elsewhere ? leader.node() : null);
+  }
+
+  public boolean leads() {
+    return leadership.inOffice();
+  }
+
+  @Override
+  public void leaderChanged() {
+    leadership.leaderChanged();
+  }
+
+  @Override
+  public void jobChanged(Job job, boolean isNew) {
+    if (scheduler != null) {
+      scheduler.jobChanged(job);
+    }
+  }
+
+  @Override
+  public void loaded() {
+    ports.info("node " + settings.node() + " ready");
+  }
+
+  @Override
+  public void tookOffice(long term) {
+    scheduler = new Scheduler(settings, ports, replica, leadership, term, random);
+  }
+
+  @Override
+  public void leftOffice(String why) {
+    scheduler.close();
+    scheduler = null;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/eiderstair/core/Desk.java
@@ -0,0 +1,236 @@
+package org.eiderstair.core;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * Serves users on every node. Final states never change and are told from the replica; anything else is first
+ * confirmed to be current, many requests by one compare-only transaction. Nothing waits for an outage to end:
+ * what cannot be stored or confirmed is answered 503 at once, with when to come back.
+ */
+final class Desk {
+  private static final long GATHER_MICROS = 60_000;
+  private static final int RETRY_AFTER_S = 1;
+
+  private record Waiting(String id, Consumer<Job> current, Runnable unavailable) {}
+
+  private final Settings settings;
+  private final Ports ports;
+  private final Replica replica;
+  private final Teams limits;
+  private List<Waiting> waiting = new ArrayList<>();
+  private boolean confirming;
+  private long nextConfirmMicros;
+  private long now;
+
+  Desk(Settings settings, Ports ports, Replica replica) {
+    this.settings = settings;
+    this.ports = ports;
+    this.replica = replica;
+    this.limits = new Teams(settings);
+  }
+
+  void poll(long exchange, String id) {
+    if (!replica.loaded()) {
+      unavailable(exchange, "starting");
+      return;
+    }
+    Job known = replica.jobs.get(id);
+    if (known != null && !known.open()) {
+      ports.respond(exchange, known.view(200));
+      return;
+    }
+    confirm(id, job -> ports.respond(exchange, job == null ? new Answer.Failure(404, "no such job", 0) : job.view(200)),
+        () -> unavailable(exchange, "cannot confirm"));
+  }
+
+  void submit(long exchange, String id, JobSpec spec, String fault) {
+    if (!replica.loaded()) {
+      if (spec == null) {
+        ports.respond(exchange, new Answer.Failure(400, fault, 0));
+      } else {
+        unavailable(exchange, "starting");
+      }
+      return;
+    }
+    Job known = replica.jobs.get(id);
+    if (known != null) {
+      if (!known.open()) {
+        ports.respond(exchange, known.view(200));
+      } else {
+        confirm(id, job -> ports.respond(exchange, job.view(200)), () -> unavailable(exchange, "cannot confirm"));
+      }
+      return;
+    }
+    if (spec == null) {
+      ports.respond(exchange, new Answer.Failure(400, fault, 0));
+      return;
+    }
+    String refusal = refusal(spec);
+    if (refusal != null) {
+      // Another node may know the job, and an accepted one must never be refused: so confirm that it is new.
+      confirm(id, job -> ports.respond(exchange, job == null ? new Answer.Failure(422, refusal, 0) : job.view(200)),
+          () -> unavailable(exchange, "cannot confirm"));
+      return;
+    }
+    if (replica.catalog().isEmpty()) {
+      unavailable(exchange, "machine types not known yet");
+      return;
+    }
+    create(exchange, spec);
+  }
+
+  private String refusal(JobSpec spec) {
+    if (!settings.teams().containsKey(spec.team())) {
+      return "unknown team " + spec.team();
+    }
+    if (!limits.canEverHold(spec)) {
+      return "more than the team's limit";
+    }
+    if (spec.zone() != null && !settings.zones().contains(spec.zone())) {
+      return "unknown zone " + spec.zone();
+    }
+    if (replica.catalog().isEmpty()) {
+      return null;
+    }
+    for (MachineType type : replica.catalog()) {
+      boolean allowed = spec.machineTypes() == null || spec.machineTypes().contains(type.name());
+      if (allowed && type.fits(spec) && (spec.zone() == null || type.zones().contains(spec.zone()))) {
+        return null;
+      }
+    }
+    return "no allowed machine type can hold a task";
+  }
+
+  private void create(long exchange, JobSpec spec) {
+    Map<String, Object> value = Records.openJob(spec);
+    String key = Records.jobKey(spec.id());
+    ports.call(new Request.StoreTxn(List.of(new Request.Condition(key, 0)), List.of(new Request.Write(key, value, 0))),
+        reply -> {
+          if (reply instanceof Reply.Applied applied) {
+            replica.apply(new Reply.Item(key, value, applied.revision()));
+            ports.info("job " + spec.id() + " accepted: " + spec.tasks() + " tasks, class " + spec.jobClass());
+            ports.respond(exchange, replica.jobs.get(spec.id()).view(201));
+          } else if (reply instanceof Reply.Conflict) {
+            read(spec.id(), job -> {
+              if (job == null) {
+                unavailable(exchange, "conflict");
+              } else {
+                ports.respond(exchange, job.view(200));
+              }
+            }, () -> unavailable(exchange, "cannot confirm"));
+          } else {
+            unavailable(exchange, "cannot store");
+          }
+        });
+  }
+
+  void cancel(long exchange, String id) {
+    if (!replica.loaded()) {
+      unavailable(exchange, "starting");
+      return;
+    }
+    cancel(exchange, id, 3);
+  }
+
+  private void cancel(long exchange, String id, int tries) {
+    Job job = replica.jobs.get(id);
+    if (job == null) {
+      read(id, found -> {
+        if (found == null || tries <= 0) {
+          ports.respond(exchange, new Answer.Failure(404, "no such job", 0));
+        } else {
+          cancel(exchange, id, tries - 1);
+        }
+      }, () -> unavailable(exchange, "cannot confirm"));
+      return;
+    }
+    if (!job.open()) {
+      ports.respond(exchange, job.view(200));
+      return;
+    }
+    String key = Records.jobKey(id);
+    Map<String, Object> value = Records.cancelledJob(job.spec(), job.durable.cardinality());
+    ports.call(new Request.StoreTxn(List.of(new Request.Condition(key, job.version())),
+        List.of(new Request.Write(key, value, 0))), reply -> {
+          if (reply instanceof Reply.Applied applied) {
+            replica.apply(new Reply.Item(key, value, applied.revision()));
+            ports.info("job " + id + " cancelled");
+            ports.respond(exchange, job.view(200));
+          } else if (reply instanceof Reply.Conflict && tries > 0) {
+            read(id, found -> cancel(exchange, id, tries - 1), () -> unavailable(exchange, "cannot confirm"));
+          } else {
+            unavailable(exchange, "cannot store");
+          }
+        });
+  }
+
+  private void unavailable(long exchange, String why) {
+    ports.respond(exchange, new Answer.Failure(503, why, RETRY_AFTER_S));
+  }
+
+  private void confirm(String id, Consumer<Job> current, Runnable unavailable) {
+    waiting.add(new Waiting(id, current, unavailable));
+    tick(now);
+  }
+
+  void tick(long nowMicros) {
+    now = nowMicros;
+    if (confirming || waiting.isEmpty() || now < nextConfirmMicros) {
+      return;
+    }
+    Map<String, Long> versions = new LinkedHashMap<>();
+    List<Waiting> batch = new ArrayList<>();
+    List<Waiting> later = new ArrayList<>();
+    int most = settings.stateTxnOps() * 4;
+    for (Waiting w : waiting) {
+      if (versions.size() < most || versions.containsKey(w.id())) {
+        Job job = replica.jobs.get(w.id());
+        versions.put(w.id(), job == null ? 0 : job.version());
+        batch.add(w);
+      } else {
+        later.add(w);
+      }
+    }
+    waiting = later;
+    confirming = true;
+    nextConfirmMicros = now + GATHER_MICROS;
+    List<Request.Condition> conditions = new ArrayList<>();
+    versions.forEach((id, version) -> conditions.add(new Request.Condition(Records.jobKey(id), version)));
+    ports.call(new Request.StoreTxn(conditions, List.of()), reply -> {
+      confirming = false;
+      if (reply instanceof Reply.Applied) {
+        batch.forEach(w -> w.current().accept(replica.jobs.get(w.id())));
+      } else if (reply instanceof Reply.Conflict conflict) {
+        // Reads answer for the old ones. The others are asked again: a failed list need not be complete.
+        for (Waiting w : batch) {
+          if (conflict.failed().contains(Records.jobKey(w.id()))) {
+            read(w.id(), w.current(), w.unavailable());
+          } else {
+            waiting.add(w);
+          }
+        }
+      } else {
+        batch.forEach(w -> w.unavailable().run());
+      }
+    });
+  }
+
+  /** Reads the job's key itself; what it shows is current. */
+  private void read(String id, Consumer<Job> current, Runnable unavailable) {
+    String key = Records.jobKey(id);
+    ports.call(new Request.StoreGet(key), reply -> {
+      if (reply instanceof Reply.Found found) {
+        if (found.item() != null) {
+          replica.apply(found.item());
+        }
+        current.accept(replica.jobs.get(id));
+      } else {
+        unavailable.run();
+      }
+    });
+  }
+}
--- /dev/null
+++ b/src/main/java/org/eiderstair/core/Event.java
@@ -0,0 +1,23 @@
+package org.eiderstair.core;
+
+/** What happens to the core. */
+public sealed interface Event {
+
+  /** Time passes. */
+  record Tick() implements Event {}
+
+  /** The outcome of an earlier request. */
+  record Replied(long call, Reply reply) implements Event {}
+
+  /** A user submits; {@code spec} is null and {@code fault} set when the body is malformed but its id is not. */
+  record Submit(long exchange, String id, JobSpec spec, String fault) implements Event {}
+
+  record Poll(long exchange, String id) implements Event {}
+
+  record Cancel(long exchange, String id) implements Event {}
+
+  record ReadyProbe(long exchange) implements Event {}
+
+  /** A worker reports; {@code relayed} when it came through another node. */
+  record Reported(long exchange, MachineReport report, boolean relayed) implements Event {}
+}
--- /dev/null
+++ b/src/main/java/org/eiderstair/core/Leadership.java
@@ -0,0 +1,206 @@
+package org.eiderstair.core;
+
+import java.util.List;
+
+/**
+ * Who may command. The leader key hangs on a lease; the revision that created it is the term. The lease is
+ * counted from the moment a renewal was <em>sent</em>, less clock drift and a margin, so this node stops
+ * before the state service can let another one lead.
+ */
+final class Leadership {
+
+  /**
+   * FADING cannot renew: it launches nothing, but goes on answering workers so that running work survives a
+   * short outage. Its bound makes workers lose their leases in time for a cancellation accepted elsewhere.
+   */
+  enum State { FOLLOWING, GRANTING, CREATING, LEADING, FADING }
+
+  interface Listener {
+    void tookOffice(long term);
+
+    void leftOffice(String why);
+  }
+
+  private static final long MARGIN_MICROS = 250_000;
+  private static final long RETRY_MICROS = 400_000;
+
+  private final Settings settings;
+  private final Ports ports;
+  private final Replica replica;
+  private final Listener listener;
+  private final String incarnation;
+
+  private State state = State.FOLLOWING;
+  private long now;
+  private long lease;
+  private long term;
+  private long renewedMicros;
+  private long nextTouchMicros;
+  private boolean touching;
+  private long standAfterMicros;
+  private long droppedOwnLease;
+
+  Leadership(Settings settings, Ports ports, Replica replica, String incarnation, Listener listener) {
+    this.settings = settings;
+    this.ports = ports;
+    this.replica = replica;
+    this.incarnation = incarnation;
+    this.listener = listener;
+  }
+
+  /** Whether commands may be sent at this moment. */
+  boolean mayCommand(long nowMicros) {
+    return state == State.LEADING && nowMicros < authorityEnd();
+  }
+
+  /** Whether workers' reports may be answered. */
+  boolean inOffice() {
+    return state == State.LEADING || state == State.FADING;
+  }
+
+  long term() {
+    return term;
+  }
+
+  private long authorityEnd() {
+    long ttl = settings.tuning().leaderTtlMicros();
+    return renewedMicros + ttl - ttl / 2000 - MARGIN_MICROS;
+  }
+
+  private long fadeEnd() {
+    return renewedMicros + Math.max(0, settings.cancelMicros() - settings.leaseMicros() - 3_000_000);
+  }
+
+  void tick(long nowMicros) {
+    now = nowMicros;
+    switch (state) {
+      case FOLLOWING -> considerStanding();
+      case GRANTING, CREATING -> { }
+      case LEADING -> {
+        if (now >= authorityEnd()) {
+          become(State.FADING, "lease not renewed");
+        }
+        touchIfDue();
+      }
+      case FADING -> {
+        if (now >= Math.max(fadeEnd(), authorityEnd())) {
+          become(State.FOLLOWING, "lease not renewed for too long");
+        } else {
+          touchIfDue();
+        }
+      }
+    }
+  }
+
+  /** The one function for every change of state. */
+  private void become(State next, String why) {
+    if (next == state) {
+      return;
+    }
+    boolean was = inOffice();
+    ports.info("leadership " + state + " -> " + next + " term=" + term + ": " + why);
+    state = next;
+    if (!was && inOffice()) {
+      listener.tookOffice(term);
+    } else if (was && !inOffice()) {
+      standAfterMicros = now + RETRY_MICROS;
+      listener.leftOffice(why);
+    }
+  }
+
+  private void considerStanding() {
+    if (!replica.loaded() || now < standAfterMicros) {
+      return;
+    }
+    Replica.Leader leader = replica.leader();
+    if (leader != null) {
+      // An earlier run of this very node is certainly dead, so its lease need not run out.
+      if (leader.node().equals(settings.node()) && leader.lease() != droppedOwnLease) {
+        droppedOwnLease = leader.lease();
+        ports.info("giving up the lease of an earlier run, term=" + leader.term());
+        ports.call(new Request.LeaseDrop(leader.lease()), reply -> {
+          if (!(reply instanceof Reply.Applied)) {
+            droppedOwnLease = 0;
+            standAfterMicros = now + RETRY_MICROS;
+          }
+        });
+      }
+      return;
+    }
+    become(State.GRANTING, "no leader");
+    long sentMicros = now;
+    ports.call(new Request.LeaseGrant(settings.tuning().leaderTtlMicros()), reply -> {
+      if (reply instanceof Reply.LeaseGranted granted && replica.leader() == null) {
+        lease = granted.lease();
+        renewedMicros = sentMicros;
+        become(State.CREATING, "lease " + lease);
+        create();
+      } else {
+        standAfterMicros = now + RETRY_MICROS;
+        become(State.FOLLOWING, "no lease: " + reply);
+      }
+    });
+  }
+
+  private void create() {
+    var value = Records.leader(settings.node(), lease, incarnation);
+    ports.call(new Request.StoreTxn(List.of(new Request.Condition(Records.LEADER, 0)),
+        List.of(new Request.Write(Records.LEADER, value, lease))), reply -> {
+      if (reply instanceof Reply.Applied applied) {
+        term = applied.revision();
+        nextTouchMicros = renewedMicros + settings.tuning().leaderRenewMicros();
+        replica.apply(new Reply.Item(Records.LEADER, value, term));
+        if (replica.leader() != null && replica.leader().term() == term) {
+          become(State.LEADING, "elected");
+          return;
+        }
+      }
+      // With no answer the key may yet appear: ending the lease removes it and makes a late write fail.
+      ports.call(new Request.LeaseDrop(lease), ignored -> { });
+      standAfterMicros = now + RETRY_MICROS;
+      become(State.FOLLOWING, "not elected: " + reply);
+    });
+  }
+
+  private void touchIfDue() {
+    if (touching || now < nextTouchMicros) {
+      return;
+    }
+    touching = true;
+    long sentMicros = now;
+    long touchedTerm = term;
+    ports.call(new Request.LeaseTouch(lease), reply -> {
+      touching = false;
+      if (!inOffice() || touchedTerm != term) {
+        return;
+      }
+      if (reply instanceof Reply.Applied) {
+        renewedMicros = sentMicros;
+        nextTouchMicros = sentMicros + settings.tuning().leaderRenewMicros();
+        if (state == State.FADING && now < authorityEnd()) {
+          become(State.LEADING, "renewed again");
+        }
+      } else if (reply instanceof Reply.Refused refused && refused.status() == 404) {
+        become(State.FOLLOWING, "lease lost");
+      } else {
+        nextTouchMicros = now + RETRY_MICROS;
+      }
+    });
+  }
+
+  /** The leader key was seen to belong to another, or a worker showed a newer token. */
+  void deposed(String why) {
+    if (inOffice()) {
+      ports.call(new Request.LeaseDrop(lease), ignored -> { });
+      become(State.FOLLOWING, why);
+    }
+  }
+
+  /** The replica's leader key changed. */
+  void leaderChanged() {
+    Replica.Leader leader = replica.leader();
+    if (inOffice() && (leader == null || leader.term() != term)) {
+      become(State.FOLLOWING, leader == null ? "leader key dropped" : "another leads, term=" + leader.term());
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/eiderstair/core/Ledger.java
@@ -0,0 +1,244 @@
+package org.eiderstair.core;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The leader's durable writes: finished jobs, progress, the roster. One transaction at a time; each demands
+ * the leader key of this term and the known version of every key that it changes, so one applied late
+ * fails. What is still to be written is worked out anew each time, so a lost answer needs only fresh versions.
+ */
+final class Ledger {
+  private static final long PROGRESS_EVERY_MICROS = 500_000;
+  private static final long RETRY_MICROS = 500_000;
+  private static final int TXN_BYTES = 40_000;
+
+  /** IDLE may write; WRITING waits for an answer; READING fetches versions after a conflict or no answer. */
+  private enum State { IDLE, WRITING, READING }
+
+  interface Listener {
+    void jobFinished(Job job);
+
+    void rosterWritten(String machine);
+  }
+
+  private final Settings settings;
+  private final Ports ports;
+  private final Replica replica;
+  private final Listener listener;
+  private final long term;
+  private final RateBudget writes;
+  private State state = State.IDLE;
+  private boolean closed;
+  private long now;
+  private long notBeforeMicros;
+  private long lastProgressMicros;
+  private int reading;
+  private boolean readFailed;
+
+  private final Map<String, Job> finished = new LinkedHashMap<>();
+  private final Map<String, Job> progressed = new LinkedHashMap<>();
+  private final Map<String, Machine> enrol = new LinkedHashMap<>();
+  private final Map<String, Boolean> strike = new LinkedHashMap<>();
+
+  Ledger(Settings settings, Ports ports, Replica replica, long term, Listener listener) {
+    this.settings = settings;
+    this.ports = ports;
+    this.replica = replica;
+    this.term = term;
+    this.listener = listener;
+    this.writes = new RateBudget(settings.stateWriteRps() * 0.7);
+  }
+
+  void close() {
+    closed = true;
+  }
+
+  void finished(Job job) {
+    finished.put(job.id, job);
+    progressed.remove(job.id);
+  }
+
+  void progressed(Job job) {
+    if (!finished.containsKey(job.id)) {
+      progressed.put(job.id, job);
+    }
+  }
+
+  void enrol(Machine machine) {
+    enrol.put(machine.id, machine);
+    strike.remove(machine.id);
+  }
+
+  void strike(String machine) {
+    enrol.remove(machine);
+    if (replica.roster.containsKey(machine)) {
+      strike.put(machine, true);
+    }
+  }
+
+  void tick(long nowMicros) {
+    now = nowMicros;
+    if (closed || state != State.IDLE || now < notBeforeMicros) {
+      return;
+    }
+    List<Request.Condition> conditions = new ArrayList<>();
+    List<Request.Write> changes = new ArrayList<>();
+    List<Runnable> after = new ArrayList<>();
+    conditions.add(new Request.Condition(Records.LEADER, term));
+    int room = (int) Math.min(settings.stateTxnOps(), writes.available(now));
+    room = addFinished(room, conditions, changes, after);
+    room = addRoster(room, conditions, changes, after);
+    addProgress(room, conditions, changes, after);
+    if (changes.isEmpty()) {
+      return;
+    }
+    writes.take(changes.size());
+    state = State.WRITING;
+    ports.call(new Request.StoreTxn(conditions, changes), reply -> written(reply, conditions, changes, after));
+  }
+
+  private int addFinished(int room, List<Request.Condition> conditions, List<Request.Write> changes,
+      List<Runnable> after) {
+    for (Job job : new ArrayList<>(finished.values())) {
+      if (!job.open()) {
+        finished.remove(job.id);
+        continue;
+      }
+      if (room < 2) {
+        return 0;
+      }
+      conditions.add(new Request.Condition(Records.jobKey(job.id), job.version()));
+      changes.add(new Request.Write(Records.jobKey(job.id), Records.doneJob(job.tasks()), 0));
+      if (job.progressVersion > 0) {
+        conditions.add(new Request.Condition(Records.progressKey(job.id), job.progressVersion));
+        changes.add(new Request.Write(Records.progressKey(job.id), null, 0));
+      }
+      room -= 2;
+      after.add(() -> {
+        finished.remove(job.id);
+        listener.jobFinished(job);
+      });
+    }
+    return room;
+  }
+
+  private int addRoster(int room, List<Request.Condition> conditions, List<Request.Write> changes,
+      List<Runnable> after) {
+    for (Machine m : new ArrayList<>(enrol.values())) {
+      if (room < 1) {
+        return 0;
+      }
+      var known = replica.roster.get(m.id);
+      conditions.add(new Request.Condition(Records.rosterKey(m.id), known == null ? 0 : known.version()));
+      changes.add(new Request.Write(Records.rosterKey(m.id), Records.roster(m.address, m.typeName, m.zone, m.spot), 0));
+      room--;
+      after.add(() -> {
+        enrol.remove(m.id);
+        listener.rosterWritten(m.id);
+      });
+    }
+    for (String id : new ArrayList<>(strike.keySet())) {
+      var known = replica.roster.get(id);
+      if (known == null) {
+        strike.remove(id);
+        continue;
+      }
+      if (room < 1) {
+        return 0;
+      }
+      conditions.add(new Request.Condition(Records.rosterKey(id), known.version()));
+      changes.add(new Request.Write(Records.rosterKey(id), null, 0));
+      room--;
+      after.add(() -> strike.remove(id));
+    }
+    return room;
+  }
+
+  private void addProgress(int room, List<Request.Condition> conditions, List<Request.Write> changes,
+      List<Runnable> after) {
+    if (progressed.isEmpty() || changes.isEmpty() && now < lastProgressMicros + PROGRESS_EVERY_MICROS) {
+      return;
+    }
+    lastProgressMicros = now;
+    int bytes = 0;
+    for (Job job : new ArrayList<>(progressed.values())) {
+      if (!job.open()) {
+        progressed.remove(job.id);
+        continue;
+      }
+      if (room < 1 || bytes > TXN_BYTES) {
+        return;
+      }
+      BitSet done = (BitSet) job.done.clone();
+      int running = job.runningCount();
+      Map<String, Object> value = Records.progress(done, running);
+      bytes += Records.text(value, "done").length() + 200;
+      conditions.add(new Request.Condition(Records.progressKey(job.id), job.progressVersion));
+      conditions.add(new Request.Condition(Records.jobKey(job.id), job.version()));
+      changes.add(new Request.Write(Records.progressKey(job.id), value, 0));
+      room--;
+      after.add(() -> {
+        if (job.done.equals(done)) {
+          progressed.remove(job.id);
+        }
+      });
+    }
+  }
+
+  private void written(Reply reply, List<Request.Condition> conditions, List<Request.Write> changes,
+      List<Runnable> after) {
+    state = State.IDLE;
+    if (closed) {
+      return;
+    }
+    if (reply instanceof Reply.Applied applied) {
+      for (Request.Write change : changes) {
+        replica.apply(new Reply.Item(change.key(), change.value(), applied.revision()));
+      }
+      after.forEach(Runnable::run);
+    } else if (reply instanceof Reply.Conflict conflict) {
+      ports.debug("ledger conflict on " + conflict.failed() + " term=" + term);
+      refresh(conflict.failed());
+    } else if (reply instanceof Reply.Lost) {
+      refresh(conditions.stream().map(Request.Condition::key).toList());
+    } else {
+      notBeforeMicros = now + RETRY_MICROS;
+    }
+  }
+
+  /** Reads what may have changed before anything is written again. */
+  private void refresh(List<String> keys) {
+    state = State.READING;
+    reading = keys.size();
+    readFailed = false;
+    for (String key : keys) {
+      ports.call(new Request.StoreGet(key), reply -> {
+        if (closed) {
+          return;
+        }
+        if (reply instanceof Reply.Found found) {
+          if (found.item() != null) {
+            replica.apply(found.item());
+          } else {
+            replica.missing(key);
+          }
+        } else {
+          readFailed = true;
+        }
+        if (--reading == 0) {
+          state = State.IDLE;
+          if (readFailed) {
+            notBeforeMicros = now + RETRY_MICROS;
+          }
+        }
+      });
+    }
+    if (keys.isEmpty()) {
+      state = State.IDLE;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/eiderstair/core/Machine.java
@@ -0,0 +1,141 @@
+package org.eiderstair.core;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** A machine as the leader of one term knows it: what may be on it, and how sure that is. */
+final class Machine {
+
+  /**
+   * BOOTING was rented and has not reported. UNHEARD may hold work of earlier terms. HEARD has shown our token.
+   * FENCING got a command whose fate is unknown. LOST has had no answer for so long that its lease is over, so
+   * nothing is on it. GONE is deleted.
+   */
+  enum Phase { BOOTING, UNHEARD, HEARD, FENCING, LOST, GONE }
+
+  /** What the leader wants of it. */
+  enum Plan { USE, DRAIN, DELETE }
+
+  final String id;
+  String address;
+  MachineType type;
+  String typeName;
+  String zone;
+  boolean spot;
+  Phase phase;
+  Plan plan = Plan.USE;
+
+  long session;
+  long sequence;
+  private final long baseToken;
+  private long fence = 1;
+
+  /** Everything that may be on the machine, or is meant for it, by task. */
+  final Map<TaskId, Attempt> attempts = new LinkedHashMap<>();
+  /** Room is taken for these; they go with the next command. */
+  final List<Attempt> toLaunch = new ArrayList<>();
+  /** Waiting at the leader for room on this machine. */
+  final List<Attempt> queue = new ArrayList<>();
+  /** Entries to be killed or forgotten that no attempt stands for. */
+  final Map<TaskId, Order> strays = new HashMap<>();
+  /** Ended entries that may be forgotten: their outcome is durable, or needs no record. */
+  final Map<TaskId, Order.Reap> reaps = new HashMap<>();
+  final Set<String> images = new HashSet<>();
+
+  boolean commandInFlight;
+  boolean killsPending;
+  long nextAskMicros;
+  long sinceMicros;
+  long heardMicros;
+  /** When our last 200 to a report of this machine left; its lease may run from then. */
+  long answeredMicros;
+  long noticeUntilMicros;
+  long holdUntilMicros;
+  long idleSinceMicros;
+  boolean rostered;
+  boolean deleteInFlight;
+  int errorsInRow;
+  final Set<String> failedJobs = new HashSet<>();
+
+  Machine(String id, long term, Phase phase, long nowMicros) {
+    this.id = id;
+    this.baseToken = Math.multiplyExact(term, 1L << 20);
+    this.phase = phase;
+    this.sinceMicros = nowMicros;
+    this.idleSinceMicros = nowMicros;
+    this.heardMicros = nowMicros;
+  }
+
+  long token() {
+    return baseToken + fence;
+  }
+
+  /** Older commands die at the machine as soon as it has seen the new token. */
+  void raiseFence() {
+    fence++;
+  }
+
+  /** The one function for a change of phase. */
+  void become(Phase next) {
+    phase = next;
+  }
+
+  boolean usable(long nowMicros) {
+    return phase == Phase.HEARD && plan == Plan.USE && rostered && type != null && nowMicros >= holdUntilMicros;
+  }
+
+  private double freeCpus;
+  private double freeAccelerators;
+  private double freeMemory;
+
+  /** Works out the room that is left beside everything that may be here; none while something unknown is. */
+  void measureRoom() {
+    freeCpus = type == null ? 0 : type.cpus();
+    freeAccelerators = type == null ? 0 : type.accelerators();
+    freeMemory = type == null ? 0 : type.memoryGb();
+    boolean unknown = !strays.isEmpty();
+    for (Attempt a : attempts.values()) {
+      if (a.phase == Attempt.Phase.QUEUED) {
+        continue;
+      }
+      if (a.spec == null) {
+        unknown = true;
+      } else {
+        take(a.spec);
+      }
+    }
+    if (unknown) {
+      freeCpus = 0;
+      freeAccelerators = 0;
+      freeMemory = 0;
+    }
+  }
+
+  void take(JobSpec spec) {
+    freeCpus -= spec.cpus();
+    freeAccelerators -= spec.accelerators();
+    freeMemory -= spec.memoryGb();
+  }
+
+  boolean fits(JobSpec spec) {
+    return spec.cpus() <= freeCpus + 1e-6 && spec.accelerators() <= freeAccelerators + 1e-6
+        && spec.memoryGb() <= freeMemory + 1e-6;
+  }
+
+  double freeCpus() {
+    return Math.max(0, freeCpus);
+  }
+
+  boolean hasRoom() {
+    return freeCpus > 1e-6 && freeMemory > 1e-6;
+  }
+
+  boolean allows(JobSpec spec) {
+    return spec.allows(typeName, zone, spot) && type.fits(spec);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/eiderstair/core/Placement.java
@@ -0,0 +1,183 @@
+package org.eiderstair.core;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.IntUnaryOperator;
+import java.util.function.Predicate;
+
+/**
+ * The ordinary path: a task takes a uniformly random token whose machine fits it, else a random fitting
+ * machine with a short queue, else it waits here. Jobs go by priority; a team inside its guarantee goes first
+ * among equals, then the older job.
+ */
+final class Placement {
+  private final Settings settings;
+  private final Ports ports;
+  private final Replica replica;
+  private final Fleet fleet;
+  private final TokenList tokens;
+  private final long term;
+  private final IntUnaryOperator random;
+  private Teams teams;
+
+  Placement(Settings settings, Ports ports, Replica replica, Fleet fleet, TokenList tokens, long term,
+      IntUnaryOperator random) {
+    this.settings = settings;
+    this.ports = ports;
+    this.replica = replica;
+    this.fleet = fleet;
+    this.tokens = tokens;
+    this.term = term;
+    this.random = random;
+  }
+
+  /** Counts what every team may be using, unheard machines included. */
+  Teams measure() {
+    Teams measured = new Teams(settings);
+    double unheardCpus = 0;
+    double unheardAccelerators = 0;
+    for (Machine m : fleet.machines.values()) {
+      if (m.phase == Machine.Phase.UNHEARD) {
+        unheardCpus += m.type == null ? Double.MAX_VALUE : m.type.cpus();
+        unheardAccelerators += m.type == null ? Double.MAX_VALUE : m.type.accelerators();
+      }
+      for (Attempt a : m.attempts.values()) {
+        if (a.spec != null) {
+          measured.add(a.spec, 1);
+        }
+      }
+      m.measureRoom();
+    }
+    measured.unheard(unheardCpus, unheardAccelerators);
+    return measured;
+  }
+
+  /** Jobs with something to place now, in the order of service. */
+  List<Job> order(long nowMicros, Teams measured) {
+    boolean unheard = fleet.anyUnheard();
+    List<Job> jobs = new ArrayList<>();
+    Map<Job, Integer> rank = new HashMap<>();
+    for (Job job : replica.open.values()) {
+      boolean heldBack = unheard && job.version() < term;
+      if (!heldBack && nowMicros >= job.notBeforeMicros && job.waiting() > 0) {
+        jobs.add(job);
+        rank.put(job, measured.withinGuarantee(job.spec()) ? 0 : 1);
+      }
+    }
+    jobs.sort(Comparator.comparing((Job j) -> j.spec().priority()).thenComparing(rank::get)
+        .thenComparing(Job::version));
+    return jobs;
+  }
+
+  void place(long nowMicros) {
+    teams = measure();
+    List<Job> jobs = order(nowMicros, teams);
+    JobSpec.Priority highest = jobs.isEmpty() ? JobSpec.Priority.LOW : jobs.get(0).spec().priority();
+    serveQueues(highest, nowMicros);
+    for (Job job : jobs) {
+      place(job, nowMicros);
+    }
+  }
+
+  /** A machine's own queue goes first, but never before waiting work of a higher priority. */
+  private void serveQueues(JobSpec.Priority highest, long nowMicros) {
+    for (Machine m : fleet.machines.values()) {
+      for (Attempt a : new ArrayList<>(m.queue)) {
+        boolean yields = a.spec.priority().compareTo(highest) > 0;
+        if (yields || !a.job.open()) {
+          fleet.remove(a);
+        } else if (m.usable(nowMicros) && m.fits(a.spec)) {
+          m.queue.remove(a);
+          a.phase = Attempt.Phase.PLANNED;
+          m.take(a.spec);
+          m.toLaunch.add(a);
+        }
+      }
+    }
+  }
+
+  private void place(Job job, long nowMicros) {
+    JobSpec spec = job.spec();
+    int most = job.failedOn.size() >= 3 ? 1 : Integer.MAX_VALUE;
+    Map<String, Integer> perZone = zonesOf(job);
+    for (int index = job.nextFree(0); index >= 0; index = job.nextFree(index + 1)) {
+      if (job.active.size() >= most || !teams.allowsOneMore(spec)) {
+        return;
+      }
+      String only = spec.oneZone() ? chosenZone(job, perZone, nowMicros) : null;
+      Predicate<Machine> allowed = m -> m.usable(nowMicros) && m.allows(spec) && !job.failedOn.contains(m.id)
+          && (only == null || only.equals(m.zone))
+          && (!spec.spread() || perZone.getOrDefault(m.zone, 0) < spec.mostPerZone());
+      Machine m = tokens.draw(allowed.and(x -> x.fits(spec)), random);
+      if (m == null && !job.failedOn.isEmpty()) {
+        // Every machine that is left has failed this job: rather one of those than never.
+        m = tokens.draw(x -> x.usable(nowMicros) && x.allows(spec) && x.fits(spec) && !spec.oneZone()
+            && !spec.spread(), random);
+      }
+      Attempt.Phase phase = Attempt.Phase.PLANNED;
+      if (m == null) {
+        m = shortQueue(allowed);
+        phase = Attempt.Phase.QUEUED;
+      }
+      if (m == null) {
+        return;
+      }
+      put(job, index, m, phase, nowMicros);
+      perZone.merge(m.zone, 1, Integer::sum);
+    }
+  }
+
+  private void put(Job job, int index, Machine m, Attempt.Phase phase, long nowMicros) {
+    Attempt a = new Attempt(job, index, fleet.nextAttempt(), m, phase, nowMicros);
+    job.active.put(index, a);
+    m.attempts.put(a.task(), a);
+    teams.add(a.spec, 1);
+    if (phase == Attempt.Phase.QUEUED) {
+      m.queue.add(a);
+      return;
+    }
+    m.take(a.spec);
+    m.toLaunch.add(a);
+    if (!m.hasRoom()) {
+      tokens.remove(m);
+    }
+  }
+
+  private Machine shortQueue(Predicate<Machine> allowed) {
+    List<Machine> candidates = new ArrayList<>();
+    for (Machine m : fleet.machines.values()) {
+      if (m.queue.size() < settings.tuning().machineQueue() && allowed.test(m)) {
+        candidates.add(m);
+      }
+    }
+    return candidates.isEmpty() ? null : candidates.get(random.applyAsInt(candidates.size()));
+  }
+
+  private Map<String, Integer> zonesOf(Job job) {
+    Map<String, Integer> zones = new HashMap<>();
+    if (job.spec().oneZone() || job.spec().spread()) {
+      for (Attempt a : job.active.values()) {
+        zones.merge(a.machine.zone, 1, Integer::sum);
+      }
+    }
+    return zones;
+  }
+
+  /** The zone of the job's other tasks; for a job with none, the zone with the most room for it. */
+  private String chosenZone(Job job, Map<String, Integer> perZone, long nowMicros) {
+    if (!perZone.isEmpty()) {
+      return perZone.keySet().iterator().next();
+    }
+    Map<String, Double> room = new HashMap<>();
+    for (Machine m : fleet.machines.values()) {
+      if (m.usable(nowMicros) && m.allows(job.spec())) {
+        room.merge(m.zone, m.freeCpus(), Double::sum);
+      }
+    }
+    return room.entrySet().stream().max(Map.Entry.<String, Double>comparingByValue()
+        .thenComparing(Map.Entry.comparingByKey())).map(Map.Entry::getKey).orElse("");
+  }
+}
--- /dev/null
+++ b/src/main/java/org/eiderstair/core/Ports.java
@@ -0,0 +1,48 @@
+package org.eiderstair.core;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * Collects effects and remembers what to do with the reply of each call. Continuations run inside the
+ * core's one thread, so a reply is handled like any other event.
+ */
+final class Ports {
+  private final Consumer<Effect> out;
+  private final Map<Long, Consumer<Reply>> pending = new HashMap<>();
+  private long lastCall;
+
+  Ports(Consumer<Effect> out) {
+    this.out = out;
+  }
+
+  void call(Request request, Consumer<Reply> then) {
+    long call = ++lastCall;
+    pending.put(call, then);
+    out.accept(new Effect.Call(call, request));
+  }
+
+  void replied(long call, Reply reply) {
+    Consumer<Reply> then = pending.remove(call);
+    if (then != null) {
+      then.accept(reply);
+    }
+  }
+
+  void respond(long exchange, Answer answer) {
+    out.accept(new Effect.Respond(exchange, answer));
+  }
+
+  void info(String text) {
+    out.accept(new Effect.Log(Effect.Level.INFO, text));
+  }
+
+  void debug(String text) {
+    out.accept(new Effect.Log(Effect.Level.DEBUG, text));
+  }
+
+  void error(String text) {
+    out.accept(new Effect.Log(Effect.Level.ERROR, text));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/eiderstair/core/Renting.java
@@ -0,0 +1,367 @@
+package org.eiderstair.core;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Decides which machines to rent and to return, and watches the cloud's list for what went wrong there. */
+final class Renting {
+  private static final long DECIDE_EVERY_MICROS = 1_000_000;
+  private static final long LIST_EVERY_MICROS = 5_000_000;
+  private static final long CATALOG_EVERY_MICROS = 120_000_000;
+  private static final long REFUSED_PAUSE_MICROS = 15_000_000;
+  private static final long RETRY_MICROS = 1_500_000;
+  private static final long CHEAPEST_LIFE_MICROS = 60_000_000;
+  private static final double QUICK_TASK_MICROS = 30e6;
+  private static final int BOOT_PATIENCE = 4;
+
+  /** A kind of machine in one zone: what a rental names, and what the cloud refuses by. */
+  private record Offer(String type, String zone, boolean spot) {}
+
+  private final Settings settings;
+  private final Ports ports;
+  private final Replica replica;
+  private final Fleet fleet;
+  private final Leadership leadership;
+  private final long term;
+  private final RateBudget calls;
+  private boolean closed;
+  private long now;
+  private long requests;
+  private long nextDecideMicros;
+  private long nextListMicros;
+  private long nextCatalogMicros;
+  private boolean listing;
+  private boolean readingCatalog;
+  private boolean deleting;
+  private long deleteNotBefore;
+  private int rentalsInFlight;
+  private final Map<Offer, Long> refusedUntil = new HashMap<>();
+  private final Set<String> toDelete = new LinkedHashSet<>();
+
+  Renting(Settings settings, Ports ports, Replica replica, Fleet fleet, Leadership leadership, long term) {
+    this.settings = settings;
+    this.ports = ports;
+    this.replica = replica;
+    this.fleet = fleet;
+    this.leadership = leadership;
+    this.term = term;
+    this.calls = new RateBudget(settings.cloudRps() * 0.7);
+  }
+
+  void close() {
+    closed = true;
+  }
+
+  void tick(long nowMicros, Placement placement) {
+    now = nowMicros;
+    if (!leadership.mayCommand(now)) {
+      return;
+    }
+    if (!readingCatalog && now >= nextCatalogMicros && mayCall()) {
+      readCatalog();
+    }
+    if (now >= nextDecideMicros) {
+      nextDecideMicros = now + DECIDE_EVERY_MICROS;
+      retire();
+      if (rentalsInFlight == 0 && !replica.catalog().isEmpty()) {
+        rent(placement);
+      }
+    }
+    if (!deleting && !toDelete.isEmpty() && now >= deleteNotBefore && mayCall()) {
+      delete();
+    }
+    if (!listing && now >= nextListMicros && mayCall()) {
+      listing = true;
+      nextListMicros = now + LIST_EVERY_MICROS;
+      list(null);
+    }
+  }
+
+  private boolean mayCall() {
+    return calls.available(now) >= 1;
+  }
+
+  private void readCatalog() {
+    readingCatalog = true;
+    calls.take(1);
+    ports.call(new Request.CloudCatalog(), reply -> {
+      readingCatalog = false;
+      if (closed || !(reply instanceof Reply.Catalog catalog)) {
+        nextCatalogMicros = now + RETRY_MICROS;
+        return;
+      }
+      nextCatalogMicros = now + CATALOG_EVERY_MICROS;
+      if (catalog.types().equals(replica.catalog())) {
+        return;
+      }
+      // Kept in the state service so that every node can judge jobs, also while the cloud does not answer.
+      Map<String, Object> value = Records.catalog(catalog.types());
+      ports.call(new Request.StoreTxn(List.of(new Request.Condition(Records.LEADER, term),
+          new Request.Condition(Records.CATALOG, replica.catalogVersion())),
+          List.of(new Request.Write(Records.CATALOG, value, 0))), written -> {
+            if (written instanceof Reply.Applied applied) {
+              replica.apply(new Reply.Item(Records.CATALOG, value, applied.revision()));
+              fleet.typesChanged();
+            } else {
+              nextCatalogMicros = now + RETRY_MICROS;
+            }
+          });
+    });
+  }
+
+  /** Machines that are of no more use: silent, failed to boot, drained, or idle for longer than they are worth. */
+  private void retire() {
+    int heard = 0;
+    int silent = 0;
+    for (Machine m : fleet.machines.values()) {
+      if (m.phase != Machine.Phase.BOOTING) {
+        heard++;
+        silent += isSilent(m) ? 1 : 0;
+      }
+    }
+    // When most machines are silent, the fault is more likely ours than theirs.
+    boolean cutOff = silent > 2 && silent * 2 > heard;
+    for (Machine m : fleet.machines.values()) {
+      if (m.plan == Machine.Plan.DELETE) {
+        toDelete.add(m.id);
+        continue;
+      }
+      String why = null;
+      if (m.phase == Machine.Phase.BOOTING) {
+        long boot = m.type == null ? 60_000_000L : m.type.bootMicros();
+        why = now > m.sinceMicros + boot * BOOT_PATIENCE ? "never came up" : null;
+      } else if (isSilent(m) && !cutOff) {
+        why = "silent";
+      } else if (m.plan == Machine.Plan.DRAIN && m.attempts.isEmpty() && m.phase == Machine.Phase.HEARD) {
+        why = "drained";
+      } else if (isIdle(m)) {
+        why = "idle";
+      }
+      if (why != null) {
+        ports.info("returning machine " + m.id + ": " + why + ", term=" + term);
+        fleet.drain(m);
+        m.plan = Machine.Plan.DELETE;
+        toDelete.add(m.id);
+      }
+    }
+  }
+
+  private boolean isSilent(Machine m) {
+    return now > m.heardMicros + settings.tuning().unheardDeleteMicros();
+  }
+
+  private boolean isIdle(Machine m) {
+    return m.phase == Machine.Phase.HEARD && m.attempts.isEmpty()
+        && now > m.idleSinceMicros + settings.tuning().idleReturnMicros()
+        && now > m.sinceMicros + CHEAPEST_LIFE_MICROS;
+  }
+
+  private void delete() {
+    deleting = true;
+    calls.take(1);
+    List<String> names = toDelete.stream().limit(100).toList();
+    ports.call(new Request.CloudDelete(names), reply -> {
+      deleting = false;
+      if (closed) {
+        return;
+      }
+      if (reply instanceof Reply.Applied) {
+        for (String name : names) {
+          toDelete.remove(name);
+          fleet.deleted(name);
+        }
+      } else {
+        deleteNotBefore = now + RETRY_MICROS;
+      }
+    });
+  }
+
+  /** Rents for what waits beyond the room that is free or on its way; spot where the work allows it. */
+  private void rent(Placement placement) {
+    Teams teams = placement.measure();
+    double freeOrdinary = 0;
+    double freeSpot = 0;
+    for (Machine m : fleet.machines.values()) {
+      if (m.plan != Machine.Plan.USE || m.type == null) {
+        continue;
+      }
+      double room = m.phase == Machine.Phase.BOOTING ? m.type.cpus() : m.freeCpus();
+      if (m.spot) {
+        freeSpot += room;
+      } else {
+        freeOrdinary += room;
+      }
+    }
+    Map<Offer, Double> wanted = new LinkedHashMap<>();
+    Map<String, Double> headroom = new HashMap<>();
+    List<Job> waiting = new ArrayList<>();
+    for (Job job : replica.open.values()) {
+      if (job.waiting() + queued(job) > 0 && now >= job.notBeforeMicros && job.failedOn.size() < 3) {
+        waiting.add(job);
+      }
+    }
+    waiting.sort((a, b) -> Boolean.compare(a.spec().spotAllowed(), b.spec().spotAllowed()));
+    for (Job job : waiting) {
+      JobSpec spec = job.spec();
+      double left = headroom.computeIfAbsent(spec.team(), teams::headroom);
+      double cpus = Math.min(left, (job.waiting() + queued(job)) * Math.max(spec.cpus(), 0.1));
+      headroom.put(spec.team(), left - cpus);
+      // Short tasks that wait are soon served by what is there.
+      cpus *= Math.min(1, Math.max(0.3, spec.estimateMicros() / QUICK_TASK_MICROS));
+      if (spec.spotAllowed()) {
+        double served = Math.min(cpus, freeSpot);
+        freeSpot -= served;
+        cpus -= served;
+      }
+      double served = Math.min(cpus, freeOrdinary);
+      freeOrdinary -= served;
+      cpus -= served;
+      Offer offer = cpus > 0.5 ? choose(spec) : null;
+      if (offer != null) {
+        wanted.merge(offer, cpus, Double::sum);
+      }
+    }
+    wanted.forEach((offer, cpus) -> {
+      MachineType type = type(offer.type());
+      rent(offer, Math.min(settings.tuning().rentBatch(), (int) Math.ceil(cpus / type.cpus())));
+    });
+  }
+
+  private static int queued(Job job) {
+    int queued = 0;
+    for (Attempt a : job.active.values()) {
+      queued += a.phase == Attempt.Phase.QUEUED ? 1 : 0;
+    }
+    return queued;
+  }
+
+  private MachineType type(String name) {
+    return replica.catalog().stream().filter(t -> t.name().equals(name)).findFirst().orElseThrow();
+  }
+
+  /** The cheapest offer per processor that the job may use and that was not refused just now. */
+  private Offer choose(JobSpec spec) {
+    Offer best = null;
+    double bestPrice = Double.MAX_VALUE;
+    int bestCount = 0;
+    for (MachineType type : replica.catalog()) {
+      if (!type.fits(spec)) {
+        continue;
+      }
+      for (String zone : type.zones()) {
+        for (boolean spot : new boolean[] {true, false}) {
+          Offer offer = new Offer(type.name(), zone, spot);
+          double price = (spot ? type.spotPrice() : type.price()) / Math.max(type.cpus(), 0.01);
+          if (!spec.allows(type.name(), zone, spot) || spot && type.spotPrice() <= 0
+              || now < refusedUntil.getOrDefault(offer, 0L)) {
+            continue;
+          }
+          int there = inZone(zone);
+          if (price < bestPrice - 1e-9 || price < bestPrice + 1e-9 && there < bestCount) {
+            best = offer;
+            bestPrice = price;
+            bestCount = there;
+          }
+        }
+      }
+    }
+    return best;
+  }
+
+  private int inZone(String zone) {
+    int count = 0;
+    for (Machine m : fleet.machines.values()) {
+      count += zone.equals(m.zone) ? 1 : 0;
+    }
+    return count;
+  }
+
+  private void rent(Offer offer, int count) {
+    if (count < 1 || !mayCall()) {
+      return;
+    }
+    rentalsInFlight++;
+    // A request name is never used for another request, by any node: the term and a counter see to that.
+    rent("r-" + term + "-" + ++requests, offer, count, 3);
+  }
+
+  private void rent(String request, Offer offer, int count, int tries) {
+    calls.take(1);
+    ports.call(new Request.CloudRent(request, offer.type(), offer.zone(), offer.spot(), count), reply -> {
+      if (closed) {
+        return;
+      }
+      if (reply instanceof Reply.Rented rented) {
+        rentalsInFlight--;
+        ports.info("rented " + rented.machines().size() + " of " + count + " " + offer + ", term=" + term);
+        for (String id : rented.machines()) {
+          if (!fleet.machines.containsKey(id) && !fleet.gone.contains(id)) {
+            fleet.expect(id, null, offer.type(), offer.zone(), offer.spot());
+          }
+        }
+        if (rented.machines().size() < count) {
+          refusedUntil.put(offer, now + REFUSED_PAUSE_MICROS);
+        }
+        nextDecideMicros = Math.min(nextDecideMicros, now);
+      } else if (reply instanceof Reply.Lost && tries > 0) {
+        // The same name again returns the same machines if the first request was served after all.
+        rent(request, offer, count, tries - 1);
+      } else {
+        rentalsInFlight--;
+        boolean capacity = reply instanceof Reply.Refused refused && refused.status() == 503;
+        ports.info("not rented " + count + " " + offer + ": " + reply + ", term=" + term);
+        refusedUntil.put(offer, now + (capacity ? REFUSED_PAUSE_MICROS : RETRY_MICROS));
+        nextDecideMicros = Math.min(nextDecideMicros, now + (capacity ? 0 : RETRY_MICROS));
+      }
+    });
+  }
+
+  private void list(String after) {
+    calls.take(1);
+    ports.call(new Request.CloudList(after), reply -> {
+      if (closed || !(reply instanceof Reply.CloudMachines page)) {
+        listing = false;
+        return;
+      }
+      String last = null;
+      for (Reply.CloudMachine listed : page.machines()) {
+        last = listed.id();
+        seen(listed);
+      }
+      if (page.more() && last != null) {
+        list(last);
+      } else {
+        listing = false;
+      }
+    });
+  }
+
+  private void seen(Reply.CloudMachine listed) {
+    if (fleet.gone.contains(listed.id())) {
+      return;
+    }
+    Machine m = fleet.machines.get(listed.id());
+    if (listed.state().equals("failed")) {
+      if (m == null || m.plan != Machine.Plan.DELETE) {
+        ports.info("machine " + listed.id() + " failed, term=" + term);
+      }
+      if (m == null) {
+        m = fleet.expect(listed.id(), listed.address(), listed.type(), listed.zone(), listed.spot());
+      }
+      fleet.drain(m);
+      m.plan = Machine.Plan.DELETE;
+      toDelete.add(m.id);
+      return;
+    }
+    if (m == null) {
+      ports.info("machine " + listed.id() + " found in the list, term=" + term);
+      m = fleet.expect(listed.id(), listed.address(), listed.type(), listed.zone(), listed.spot());
+      m.sinceMicros = now - listed.ageMicros();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/eiderstair/core/Replica.java
@@ -0,0 +1,299 @@
+package org.eiderstair.core;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * This node's copy of the state service's keys, loaded once and kept by one watch. It may be old, so only
+ * final states are told to users from it without asking (see {@link Desk}).
+ */
+final class Replica {
+  private static final int PAGE = 500;
+  private static final long HOLD_MICROS = 4_000_000;
+  private static final long RETRY_MICROS = 500_000;
+  private static final long GATHER_MICROS = 50_000;
+
+  /** LOADING reads every key; FOLLOWING has them and waits for changes. */
+  enum State { IDLE, LOADING, FOLLOWING }
+
+  /** Told of what changed after the replica holds it. */
+  interface Listener {
+    void leaderChanged();
+
+    void jobChanged(Job job, boolean isNew);
+
+    void loaded();
+  }
+
+  record Leader(String node, String incarnation, long lease, long term) {}
+
+  record RosterEntry(String machine, String address, String type, String zone, boolean spot, long version) {}
+
+  private final Ports ports;
+  private final Listener listener;
+  private State state = State.IDLE;
+  private boolean everLoaded;
+  private long revision;
+  private long nextTryMicros;
+  private Set<String> loading;
+  private long loadRevision;
+  private long lastNewsMicros;
+
+  final Map<String, Job> jobs = new HashMap<>();
+  /** Open jobs in the order in which this node learnt of them. */
+  final Map<String, Job> open = new LinkedHashMap<>();
+  final Map<String, RosterEntry> roster = new HashMap<>();
+  private final Map<String, Long> dropped = new HashMap<>();
+  private Leader leader;
+  private long leaderVersion;
+  private List<MachineType> catalog = List.of();
+  private long catalogVersion;
+
+  Replica(Ports ports, Listener listener) {
+    this.ports = ports;
+    this.listener = listener;
+  }
+
+  boolean loaded() {
+    return everLoaded;
+  }
+
+  Leader leader() {
+    return leader;
+  }
+
+  long leaderVersion() {
+    return leader == null ? 0 : leaderVersion;
+  }
+
+  List<MachineType> catalog() {
+    return catalog;
+  }
+
+  long catalogVersion() {
+    return catalogVersion;
+  }
+
+  /** Every change up to this revision is in the replica. */
+  long revision() {
+    return revision;
+  }
+
+  void tick(long nowMicros) {
+    retry(nowMicros);
+    if (state == State.IDLE && nowMicros >= nextTryMicros) {
+      become(State.LOADING, nowMicros);
+    }
+  }
+
+  private void become(State next, long nowMicros) {
+    state = next;
+    switch (next) {
+      case IDLE -> nextTryMicros = nowMicros + RETRY_MICROS;
+      case LOADING -> {
+        loading = new HashSet<>();
+        loadRevision = -1;
+        loadPage(null);
+      }
+      case FOLLOWING -> watch();
+    }
+  }
+
+  private long now;
+
+  void at(long nowMicros) {
+    now = nowMicros;
+  }
+
+  private void loadPage(String after) {
+    ports.call(new Request.StoreList(Records.ROOT, after, PAGE), reply -> {
+      if (!(reply instanceof Reply.Listed listed)) {
+        become(State.IDLE, now);
+        return;
+      }
+      if (loadRevision < 0) {
+        loadRevision = listed.revision();
+      }
+      String last = null;
+      for (Reply.Item item : listed.items()) {
+        loading.add(item.key());
+        apply(item);
+        last = item.key();
+      }
+      if (listed.more() && last != null) {
+        loadPage(last);
+        return;
+      }
+      dropUnlisted();
+      revision = loadRevision;
+      loading = null;
+      boolean first = !everLoaded;
+      everLoaded = true;
+      if (first) {
+        ports.info("replica loaded: revision " + revision + ", " + jobs.size() + " jobs, " + open.size() + " open");
+        listener.loaded();
+      }
+      become(State.FOLLOWING, now);
+    });
+  }
+
+  /** After a gap in the watch, keys that the list no longer holds were dropped meanwhile. */
+  private void dropUnlisted() {
+    if (leader != null && !loading.contains(Records.LEADER) && leaderVersion <= loadRevision) {
+      apply(new Reply.Item(Records.LEADER, null, loadRevision));
+    }
+    for (RosterEntry entry : new ArrayList<>(roster.values())) {
+      String key = Records.rosterKey(entry.machine());
+      if (!loading.contains(key) && entry.version() <= loadRevision) {
+        apply(new Reply.Item(key, null, loadRevision));
+      }
+    }
+  }
+
+  private void watch() {
+    ports.call(new Request.StoreWatch(Records.ROOT, revision, HOLD_MICROS), reply -> {
+      if (reply instanceof Reply.Changed changed) {
+        for (Reply.Item item : changed.changes()) {
+          apply(item);
+        }
+        revision = Math.max(revision, changed.revision());
+        lastNewsMicros = now;
+        // Changes that come close together cost one request, not one each.
+        retryWatchAt = now + (changed.changes().isEmpty() ? 0 : GATHER_MICROS);
+        retry(now);
+      } else if (reply instanceof Reply.Refused refused && refused.status() == 410) {
+        ports.info("watch fell behind revision " + revision + ": reading all keys again");
+        become(State.IDLE, now - RETRY_MICROS);
+      } else {
+        // Refused or lost: the same revision may be watched again, only not at once.
+        retryWatchAt = now + RETRY_MICROS;
+      }
+    });
+  }
+
+  private long retryWatchAt;
+
+  private void retry(long nowMicros) {
+    if (retryWatchAt != 0 && nowMicros >= retryWatchAt) {
+      retryWatchAt = 0;
+      watch();
+    }
+  }
+
+  /** When the watch last answered: a leader whose picture is old must not trust it. */
+  long lastNewsMicros() {
+    return lastNewsMicros;
+  }
+
+  /** Takes one key's newer value, from the watch, a list, a read, or this node's own transaction. */
+  void apply(Reply.Item item) {
+    String key = item.key();
+    try {
+      if (key.startsWith(Records.JOB)) {
+        applyJob(key.substring(Records.JOB.length()), item);
+      } else if (key.startsWith(Records.PROGRESS)) {
+        applyProgress(key.substring(Records.PROGRESS.length()), item);
+      } else if (key.startsWith(Records.ROSTER)) {
+        applyRoster(key.substring(Records.ROSTER.length()), item);
+      } else if (key.equals(Records.LEADER)) {
+        applyLeader(item);
+      } else if (key.equals(Records.CATALOG) && item.value() != null && item.version() > catalogVersion) {
+        catalogVersion = item.version();
+        catalog = Records.catalog(item.value());
+      }
+    } catch (RuntimeException e) {
+      // Guards against a value written by a broken or much newer version: one bad key must not stop the node.
+      ports.error("unreadable value of " + key + ": " + e);
+    }
+  }
+
+  /** A read showed that the key does not exist. */
+  void missing(String key) {
+    if (key.startsWith(Records.PROGRESS)) {
+      Job job = jobs.get(key.substring(Records.PROGRESS.length()));
+      if (job != null) {
+        job.progressVersion = 0;
+      }
+    } else if (key.startsWith(Records.ROSTER)) {
+      roster.remove(key.substring(Records.ROSTER.length()));
+    } else if (key.equals(Records.LEADER) && leader != null) {
+      leader = null;
+      listener.leaderChanged();
+    }
+  }
+
+  private void applyJob(String id, Reply.Item item) {
+    if (item.value() == null) {
+      return;
+    }
+    Job job = jobs.get(id);
+    if (job != null && item.version() <= job.version()) {
+      return;
+    }
+    Job.State next = Records.jobState(item.value());
+    JobSpec spec = next == Job.State.DONE ? null : Records.spec(id, item.value());
+    boolean isNew = job == null;
+    if (isNew) {
+      job = new Job(id);
+      job.seenMicros = now;
+      jobs.put(id, job);
+    }
+    job.become(next, item.version(), (int) Records.whole(item.value(), "n", 0), spec,
+        (int) Records.whole(item.value(), "d", 0));
+    if (job.open()) {
+      open.put(id, job);
+    } else {
+      open.remove(id);
+    }
+    listener.jobChanged(job, isNew);
+    job.shrink();
+  }
+
+  private void applyProgress(String id, Reply.Item item) {
+    Job job = jobs.get(id);
+    if (job == null) {
+      // A job's key sorts before its progress, and is older; it must have been seen.
+      if (item.value() != null) {
+        ports.debug("progress of unknown job " + id);
+      }
+      return;
+    }
+    if (!job.open() || item.version() <= job.progressVersion || item.value() == null) {
+      return;
+    }
+    job.progressVersion = item.version();
+    job.durable = TaskSet.read(Records.text(item.value(), "done"));
+    job.shownRunning = (int) Records.whole(item.value(), "run", 0);
+  }
+
+  private void applyRoster(String machine, Reply.Item item) {
+    RosterEntry known = roster.get(machine);
+    if (known != null && item.version() <= known.version()
+        || item.version() <= dropped.getOrDefault(machine, 0L)) {
+      return;
+    }
+    if (item.value() == null) {
+      roster.remove(machine);
+      dropped.put(machine, item.version());
+      return;
+    }
+    roster.put(machine, new RosterEntry(machine, Records.text(item.value(), "addr"),
+        Records.text(item.value(), "type"), Records.text(item.value(), "zone"),
+        Records.flag(item.value(), "spot"), item.version()));
+  }
+
+  private void applyLeader(Reply.Item item) {
+    if (item.version() <= leaderVersion) {
+      return;
+    }
+    leaderVersion = item.version();
+    leader = item.value() == null ? null : new Leader(Records.text(item.value(), "node"),
+        Records.text(item.value(), "run"), Records.whole(item.value(), "lease", 0), item.version());
+    listener.leaderChanged();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/eiderstair/core/Reply.java
@@ -0,0 +1,46 @@
+package org.eiderstair.core;
+
+import java.util.List;
+import java.util.Map;
+
+/** What came of a {@link Request}. */
+public sealed interface Reply {
+
+  /** A key's value as of a revision. */
+  record Item(String key, Map<String, Object> value, long version) {}
+
+  /** Done; the revision after it where the state service gave one. */
+  record Applied(long revision) implements Reply {}
+
+  /** A transaction's conditions did not hold. */
+  record Conflict(List<String> failed, long revision) implements Reply {}
+
+  /** One key; null when it does not exist. */
+  record Found(Item item) implements Reply {}
+
+  record Listed(List<Item> items, boolean more, long revision) implements Reply {}
+
+  /** Changes after a revision; an item without a value was dropped. */
+  record Changed(List<Item> changes, long revision) implements Reply {}
+
+  record LeaseGranted(long lease) implements Reply {}
+
+  record Catalog(List<MachineType> types) implements Reply {}
+
+  record Rented(List<String> machines) implements Reply {}
+
+  /** A machine as the cloud lists it. */
+  record CloudMachine(String id, String address, String type, String zone, boolean spot, String state, long ageMicros) {}
+
+  record CloudMachines(List<CloudMachine> machines, boolean more) implements Reply {}
+
+  record Report(MachineReport report, boolean executed) implements Reply {}
+
+  record Relayed(Answer answer) implements Reply {}
+
+  /** Answered, and certainly not executed: the status says why (404, 410, 429, 503 ...). */
+  record Refused(int status) implements Reply {}
+
+  /** No usable answer: it may have been executed, or may still be. */
+  record Lost(String why) implements Reply {}
+}
--- /dev/null
+++ b/src/main/java/org/eiderstair/core/Request.java
@@ -0,0 +1,43 @@
+package org.eiderstair.core;
+
+import java.util.List;
+import java.util.Map;
+
+/** What the core asks of the world. Each gets exactly one {@link Reply}. */
+public sealed interface Request {
+
+  /** A key and the version that it must have; version 0 means that it must not exist. */
+  record Condition(String key, long version) {}
+
+  /** Puts a value, or drops the key when the value is null. Lease 0 means none. */
+  record Write(String key, Map<String, Object> value, long lease) {}
+
+  record StoreTxn(List<Condition> conditions, List<Write> writes) implements Request {}
+
+  record StoreGet(String key) implements Request {}
+
+  record StoreList(String prefix, String after, int limit) implements Request {}
+
+  record StoreWatch(String prefix, long after, long holdMicros) implements Request {}
+
+  record LeaseGrant(long ttlMicros) implements Request {}
+
+  record LeaseTouch(long lease) implements Request {}
+
+  record LeaseDrop(long lease) implements Request {}
+
+  record CloudCatalog() implements Request {}
+
+  record CloudRent(String request, String type, String zone, boolean spot, int count) implements Request {}
+
+  record CloudDelete(List<String> machines) implements Request {}
+
+  record CloudList(String after) implements Request {}
+
+  record WorkerStatus(String address) implements Request {}
+
+  record WorkerCommands(String address, long token, long session, List<Order> orders) implements Request {}
+
+  /** A worker's report, passed to the leader by a node that the worker can reach. */
+  record PeerRelay(String peer, MachineReport report) implements Request {}
+}
--- /dev/null
+++ b/src/main/java/org/eiderstair/core/Settings.java
@@ -0,0 +1,43 @@
+package org.eiderstair.core;
+
+import java.util.List;
+import java.util.Map;
+
+/** What the core needs to know of its deployment. Read from the platform's file and the operators' own. */
+public record Settings(
+    String node,
+    List<String> peers,
+    List<String> zones,
+    Map<String, Team> teams,
+    List<Objective> objectives,
+    long reportMicros,
+    long leaseMicros,
+    long cancelMicros,
+    double stateRps,
+    double stateWriteRps,
+    int stateValueBytes,
+    int stateTxnOps,
+    double cloudRps,
+    long cloudListLagMicros,
+    Tuning tuning) {
+
+  /** A team's guarantee and limit; a limit of 0 means none. */
+  public record Team(String name, double cpus, double cpusMax, double accelerators, double acceleratorsMax) {}
+
+  /** What users expect of a class of jobs. */
+  public record Objective(String kind, String jobClass, long withinMicros, double share) {}
+
+  /** The operators' own settings; docs/operating.md describes each. */
+  public record Tuning(
+      int tokenListSize,
+      int machineQueue,
+      long leaderTtlMicros,
+      long leaderRenewMicros,
+      long unheardDeleteMicros,
+      long idleReturnMicros,
+      int rentBatch) {
+    public static Tuning defaults() {
+      return new Tuning(256, 2, 6_000_000L, 1_500_000L, 10_000_000L, 25_000_000L, 20);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/eiderstair/core/TaskId.java
@@ -0,0 +1,26 @@
+package org.eiderstair.core;
+
+/** A task of a job, by its number. */
+public record TaskId(String job, int index) {
+  @Override
+  public String toString() {
+    return job + "/" + index;
+  }
+
+  /** Reads {@code job/index}; null when the text has another form. */
+  public static TaskId parse(String text) {
+    int slash = text.lastIndexOf('/');
+    if (slash <= 0 || slash == text.length() - 1 || text.length() - slash > 7) {
+      return null;
+    }
+    int index = 0;
+    for (int i = slash + 1; i < text.length(); i++) {
+      char c = text.charAt(i);
+      if (c < '0' || c > '9') {
+        return null;
+      }
+      index = index * 10 + (c - '0');
+    }
+    return new TaskId(text.substring(0, slash), index);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/eiderstair/core/Teams.java
@@ -0,0 +1,84 @@
+package org.eiderstair.core;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** What each team uses, counting everything that may run, against its limit and its guarantee. */
+final class Teams {
+  private static final double ROUNDING = 1e-6;
+
+  private static final class Use {
+    double cpus;
+    double accelerators;
+  }
+
+  private final Settings settings;
+  private final Map<String, Use> uses = new HashMap<>();
+  /** What machines that this term has not heard could be running, for any team. */
+  private double unheardCpus;
+  private double unheardAccelerators;
+
+  Teams(Settings settings) {
+    this.settings = settings;
+  }
+
+  void add(JobSpec spec, int tasks) {
+    Use use = uses.computeIfAbsent(spec.team(), t -> new Use());
+    use.cpus += spec.cpus() * tasks;
+    use.accelerators += spec.accelerators() * tasks;
+  }
+
+  void unheard(double cpus, double accelerators) {
+    unheardCpus = cpus;
+    unheardAccelerators = accelerators;
+  }
+
+  /** Whether one more task keeps the team's limit, whatever unheard machines may hold. */
+  boolean allowsOneMore(JobSpec spec) {
+    Settings.Team team = settings.teams().get(spec.team());
+    if (team == null) {
+      return false;
+    }
+    Use use = uses.get(spec.team());
+    double cpus = (use == null ? 0 : use.cpus) + unheardCpus + spec.cpus();
+    double accelerators = (use == null ? 0 : use.accelerators) + unheardAccelerators + spec.accelerators();
+    return (team.cpusMax() <= 0 || cpus <= team.cpusMax() + ROUNDING)
+        && (team.acceleratorsMax() <= 0 || accelerators <= team.acceleratorsMax() + ROUNDING);
+  }
+
+  /** Whether the team stays inside its guarantee with one more task. */
+  boolean withinGuarantee(JobSpec spec) {
+    Settings.Team team = settings.teams().get(spec.team());
+    Use use = uses.get(spec.team());
+    return team != null && (use == null ? 0 : use.cpus) + spec.cpus() <= team.cpus() + ROUNDING
+        && (use == null ? 0 : use.accelerators) + spec.accelerators() <= team.accelerators() + ROUNDING;
+  }
+
+  /** How far beyond its guarantee a team is, in processors; negative when inside. */
+  double beyondGuarantee(String name) {
+    Settings.Team team = settings.teams().get(name);
+    Use use = uses.get(name);
+    return (use == null ? 0 : use.cpus) - (team == null ? 0 : team.cpus());
+  }
+
+  /** Processors that the team may still take before its limit; infinite without one. */
+  double headroom(String name) {
+    Settings.Team team = settings.teams().get(name);
+    if (team == null) {
+      return 0;
+    }
+    if (team.cpusMax() <= 0) {
+      return Double.POSITIVE_INFINITY;
+    }
+    Use use = uses.get(name);
+    return Math.max(0, team.cpusMax() - (use == null ? 0 : use.cpus));
+  }
+
+  /** What the limits allow a job at all: one task of an array, every task of a service. */
+  boolean canEverHold(JobSpec spec) {
+    Settings.Team team = settings.teams().get(spec.team());
+    int tasks = spec.shape() == JobSpec.Shape.SERVICE ? spec.tasks() : 1;
+    return team != null && (team.cpusMax() <= 0 || spec.cpus() * tasks <= team.cpusMax() + ROUNDING)
+        && (team.acceleratorsMax() <= 0 || spec.accelerators() * tasks <= team.acceleratorsMax() + ROUNDING);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/eiderstair/node/CoreLoop.java
@@ -0,0 +1,68 @@
+package org.eiderstair.node;
+
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.eiderstair.core.Core;
+import org.eiderstair.core.Effect;
+import org.eiderstair.core.Event;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The one thread that owns the core: takes events in their order, and ticks when none comes. */
+public final class CoreLoop implements Runnable {
+  private static final Logger LOG = LoggerFactory.getLogger("eiderstair");
+  private static final long TICK_MICROS = 50_000;
+
+  private final LinkedBlockingQueue<Event> events = new LinkedBlockingQueue<>();
+  private Core core;
+  private Consumer<Effect> effects;
+
+  public void attach(Core withCore, Consumer<Effect> withEffects) {
+    core = withCore;
+    effects = withEffects;
+  }
+
+  public void offer(Event event) {
+    events.add(event);
+  }
+
+  /** The steady clock: it is never set back, unlike the time of day. */
+  public static long nowMicros() {
+    return System.nanoTime() / 1000;
+  }
+
+  /** What the core wants done; logs are written here, the rest goes to the shells. */
+  public void effect(Effect effect) {
+    if (effect instanceof Effect.Log log) {
+      switch (log.level()) {
+        case ERROR -> LOG.error(log.text());
+        case INFO -> LOG.info(log.text());
+        case DEBUG -> LOG.debug(log.text());
+      }
+    } else {
+      effects.accept(effect);
+    }
+  }
+
+  @Override
+  public void run() {
+    long nextTick = nowMicros();
+    while (!Thread.currentThread().isInterrupted()) {
+      try {
+        long wait = nextTick - nowMicros();
+        Event event = wait > 0 ? events.poll(wait, TimeUnit.MICROSECONDS) : events.poll();
+        if (event == null) {
+          event = new Event.Tick();
+          nextTick = nowMicros() + TICK_MICROS;
+        }
+        core.handle(event, nowMicros());
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      } catch (RuntimeException e) {
+        // An event that the core cannot take must not end the node; the picture is mended by later reports.
+        LOG.error("event failed", e);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/eiderstair/node/Node.java
@@ -0,0 +1,86 @@
+package org.eiderstair.node;
+
+import java.security.SecureRandom;
+import org.apache.commons.rng.core.source64.XoRoShiRo128PlusPlus;
+import org.eclipse.jetty.io.ArrayByteBufferPool;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import org.eiderstair.config.NodeConfig;
+import org.eiderstair.core.Core;
+import org.eiderstair.core.Effect;
+import org.eiderstair.core.Event;
+import org.eiderstair.http.Inbound;
+import org.eiderstair.http.Outbound;
+
+/** A running controller: the core with sockets and timers round it. */
+public final class Node implements AutoCloseable {
+  private static final int THREADS = 8;
+
+  private final Server server;
+  private final Outbound outbound;
+  private final Thread coreThread;
+  private final ServerConnector connector;
+
+  public Node(NodeConfig config) throws Exception {
+    QueuedThreadPool threads = new QueuedThreadPool(THREADS, 4);
+    threads.setName("io");
+    threads.setReservedThreads(0);
+    ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("timer", false);
+    ArrayByteBufferPool buffers = new ArrayByteBufferPool(0, 4096, 65536, 32);
+    CoreLoop loop = new CoreLoop();
+
+    server = new Server(threads, scheduler, buffers);
+    server.setStopTimeout(0);
+    HttpConfiguration http = new HttpConfiguration();
+    http.setSendServerVersion(false);
+    http.setSendDateHeader(false);
+    http.setOutputBufferSize(4096);
+    http.setRequestHeaderSize(4096);
+    http.setIdleTimeout(0);
+    connector = new ServerConnector(server, null, scheduler, buffers, 0, 1, new HttpConnectionFactory(http));
+    connector.setHost(config.bindHost());
+    connector.setPort(config.bindPort());
+    connector.setIdleTimeout(120_000);
+    connector.setAcceptQueueSize(256);
+    server.addConnector(connector);
+    Inbound inbound = new Inbound(loop::offer);
+    server.setHandler(inbound);
+    server.start();
+
+    outbound = new Outbound(config.stateAddress(), config.cloudAddress(), threads, scheduler, buffers,
+        (call, reply) -> loop.offer(new Event.Replied(call, reply)));
+    SecureRandom seeds = new SecureRandom();
+    String incarnation = Long.toHexString(seeds.nextLong());
+    var random = new XoRoShiRo128PlusPlus(seeds.nextLong(), seeds.nextLong() | 1);
+    Core core = new Core(config.settings(), incarnation, random::nextInt, loop::effect);
+    loop.attach(core, effect -> {
+      if (effect instanceof Effect.Call call) {
+        outbound.send(call.call(), call.request());
+      } else if (effect instanceof Effect.Respond respond) {
+        inbound.respond(respond.exchange(), respond.answer());
+      }
+    });
+    coreThread = new Thread(null, loop, "core", 512 * 1024);
+    coreThread.start();
+  }
+
+  /** The port that users and workers reach, when the settings left the choice to the system. */
+  public int port() {
+    return connector.getLocalPort();
+  }
+
+  public void join() throws InterruptedException {
+    coreThread.join();
+  }
+
+  @Override
+  public void close() throws Exception {
+    coreThread.interrupt();
+    outbound.close();
+    server.stop();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/eiderstair/protocol/CloudMessages.java
@@ -0,0 +1,57 @@
+package org.eiderstair.protocol;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.eiderstair.core.MachineType;
+import org.eiderstair.core.Reply;
+import org.eiderstair.core.Request;
+
+/** What the cloud gets and sends. */
+public final class CloudMessages {
+  public static final int PAGE = 500;
+
+  private CloudMessages() {}
+
+  public static byte[] rent(Request.CloudRent r) {
+    Map<String, Object> m = new LinkedHashMap<>();
+    m.put("Charter", r.request());
+    m.put("Hull", r.type());
+    m.put("Fjord", r.zone());
+    m.put("Driftwood", r.spot());
+    m.put("HowMany", (long) r.count());
+    return Pack.write(m);
+  }
+
+  public static Reply rented(Map<String, Object> message) throws Malformed {
+    return new Reply.Rented(new Fields(message).texts("Skerries"));
+  }
+
+  public static byte[] delete(List<String> machines) {
+    return Pack.write(Map.of("Skerries", machines));
+  }
+
+  public static Reply catalog(Map<String, Object> message) throws Malformed {
+    List<MachineType> types = new ArrayList<>();
+    for (Object item : new Fields(message).list("Hulls")) {
+      Fields f = Fields.of(item, "Hulls");
+      types.add(new MachineType(f.text("Label"), f.amount("Cores"), f.amount("Accelerators"), f.amount("MemoryGb"),
+          f.has("LocalGb") ? f.amount("LocalGb") : 0, f.has("PullGbPerS") ? f.amount("PullGbPerS") : 0,
+          f.amount("Hourly"), f.has("MarketPrice") ? f.amount("MarketPrice") : 0, f.micros("StartupS"),
+          f.texts("Fjords")));
+    }
+    return new Reply.Catalog(types);
+  }
+
+  public static Reply machines(Map<String, Object> message) throws Malformed {
+    Fields top = new Fields(message);
+    List<Reply.CloudMachine> machines = new ArrayList<>();
+    for (Object item : top.list("Skerries")) {
+      Fields f = Fields.of(item, "Skerries");
+      machines.add(new Reply.CloudMachine(f.text("Id"), f.textOrNull("Endpoint"), f.text("Hull"), f.text("Fjord"),
+          f.flag("Driftwood"), f.text("Tide"), f.micros("AgeS")));
+    }
+    return new Reply.CloudMachines(machines, Boolean.TRUE.equals(top.raw("Truncated")));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/eiderstair/protocol/StoreMessages.java
@@ -0,0 +1,90 @@
+package org.eiderstair.protocol;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.eiderstair.core.Reply;
+import org.eiderstair.core.Request;
+
+/** What the state service gets and sends. */
+public final class StoreMessages {
+  private StoreMessages() {}
+
+  public static byte[] txn(Request.StoreTxn txn) {
+    List<Object> when = new ArrayList<>();
+    for (Request.Condition c : txn.conditions()) {
+      Map<String, Object> m = new LinkedHashMap<>();
+      m.put("K", c.key());
+      m.put("Stamp", c.version());
+      when.add(m);
+    }
+    List<Object> writes = new ArrayList<>();
+    for (Request.Write w : txn.writes()) {
+      Map<String, Object> m = new LinkedHashMap<>();
+      if (w.value() == null) {
+        m.put("Drop", w.key());
+      } else {
+        m.put("Put", w.key());
+        m.put("Data", w.value());
+        if (w.lease() != 0) {
+          m.put("Tenure", w.lease());
+        }
+      }
+      writes.add(m);
+    }
+    Map<String, Object> m = new LinkedHashMap<>();
+    m.put("When", when);
+    m.put("Writes", writes);
+    return Pack.write(m);
+  }
+
+  public static byte[] lease(long ttlMicros) {
+    return Pack.write(Map.of("TtlMs", ttlMicros / 1000));
+  }
+
+  public static Reply applied(Map<String, Object> message) throws Malformed {
+    return new Reply.Applied(new Fields(message).whole("LedgerRev"));
+  }
+
+  public static Reply conflict(Map<String, Object> message) throws Malformed {
+    Fields f = new Fields(message);
+    return new Reply.Conflict(f.texts("failed"), f.has("LedgerRev") ? f.whole("LedgerRev") : 0);
+  }
+
+  public static Reply leaseGranted(Map<String, Object> message) throws Malformed {
+    return new Reply.LeaseGranted(new Fields(message).whole("Tenure"));
+  }
+
+  public static Reply found(Map<String, Object> message) throws Malformed {
+    Fields f = new Fields(message);
+    return new Reply.Found(new Reply.Item(f.text("K"), data(f), f.whole("Stamp")));
+  }
+
+  public static Reply listed(Map<String, Object> message) throws Malformed {
+    Fields f = new Fields(message);
+    List<Reply.Item> items = new ArrayList<>();
+    for (Object item : f.list("Entries")) {
+      Fields i = Fields.of(item, "Entries");
+      items.add(new Reply.Item(i.text("K"), data(i), i.whole("Stamp")));
+    }
+    return new Reply.Listed(items, Boolean.TRUE.equals(f.raw("Truncated")), f.whole("LedgerRev"));
+  }
+
+  public static Reply changed(Map<String, Object> message) throws Malformed {
+    Fields f = new Fields(message);
+    List<Reply.Item> items = new ArrayList<>();
+    for (Object item : f.list("News")) {
+      Fields i = Fields.of(item, "News");
+      boolean put = i.has("Put");
+      items.add(new Reply.Item(put ? i.text("Put") : i.text("Drop"), put ? data(i) : null, i.whole("Stamp")));
+    }
+    return new Reply.Changed(items, f.whole("LedgerRev"));
+  }
+
+  /** Keys of others may hold anything; what is not a map reads as an empty one. */
+  @SuppressWarnings("unchecked")
+  private static Map<String, Object> data(Fields f) {
+    return f.raw("Data") instanceof Map<?, ?> map ? (Map<String, Object>) map : Map.of();
+  }
+}
