--- /dev/null
+++ b/src/test/java/org/eiderstair/sim/Day.java
@@ -0,0 +1,497 @@
+package org.eiderstair.sim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.LongFunction;
+import org.eiderstair.core.Answer;
+import org.eiderstair.core.Core;
+import org.eiderstair.core.Effect;
+import org.eiderstair.core.Event;
+import org.eiderstair.core.JobSpec;
+import org.eiderstair.core.MachineReport;
+import org.eiderstair.core.MachineType;
+import org.eiderstair.core.Reply;
+import org.eiderstair.core.Request;
+import org.eiderstair.core.Settings;
+import org.eiderstair.core.TaskId;
+
+/**
+ * A whole day on simulated time: three cores, a state service, a cloud, workers and users, with faults. Every
+ * rule is checked where it would be broken; what broke is in {@link #broken}.
+ */
+final class Day {
+  private static final List<String> ZONES = List.of("a", "b", "c");
+  private static final MachineType TYPE =
+      new MachineType("m8", 8, 0, 32, 30, 1, 1.0, 0.3, 8_000_000, ZONES);
+  private static final double LIMIT = 24;
+
+  final Clock clock = new Clock();
+  final Random random;
+  final List<String> broken = new ArrayList<>();
+  private final Net net;
+  private final StateService state = new StateService(clock);
+  private final Node[] nodes = new Node[3];
+  private final Map<String, Worker> workers = new LinkedHashMap<>();
+  private final Map<String, List<String>> charters = new HashMap<>();
+  private final Map<String, Long> rentedAt = new HashMap<>();
+  private int machines;
+  private boolean cloudDown;
+  /** Swapped in by a test that shows that a broken controller is caught. */
+  private final Consumer<Sabotage> sabotage;
+
+  private final Map<String, JobSpec> submitted = new LinkedHashMap<>();
+  private final Set<String> accepted = new HashSet<>();
+  private final Map<String, Answer.Phase> told = new HashMap<>();
+  private final Map<String, Long> cancelledAt = new HashMap<>();
+  private final Set<String> askedToCancel = new HashSet<>();
+  private final Map<TaskId, String> on = new HashMap<>();
+  private final Set<TaskId> completed = new HashSet<>();
+  private final Map<String, Double> teamUse = new HashMap<>();
+  int started;
+
+  /** What a broken controller would do with a request before it is carried out. */
+  static final class Sabotage {
+    Request request;
+  }
+
+  private final class Node {
+    final int index;
+    Core core;
+    int run;
+    final Map<Long, Consumer<Answer>> exchanges = new HashMap<>();
+    long lastExchange;
+
+    Node(int index) {
+      this.index = index;
+    }
+
+    String name() {
+      return "n" + index;
+    }
+
+    void start() {
+      int thisRun = ++run;
+      exchanges.clear();
+      List<String> peers = new ArrayList<>();
+      for (int i = 0; i < 3; i++) {
+        if (i != index) {
+          peers.add("n" + i);
+        }
+      }
+      core = new Core(settings(name(), peers), name() + "-" + run, random::nextInt, e -> effect(e, thisRun));
+      tick(thisRun);
+    }
+
+    void crash() {
+      run++;
+      core = null;
+      exchanges.clear();
+    }
+
+    void tick(int thisRun) {
+      if (thisRun == run && core != null) {
+        handle(new Event.Tick());
+        clock.after(50_000, () -> tick(thisRun));
+      }
+    }
+
+    void handle(Event event) {
+      core.handle(event, clock.now());
+    }
+
+    private void effect(Effect effect, int thisRun) {
+      if (effect instanceof Effect.Respond respond) {
+        Consumer<Answer> then = exchanges.remove(respond.exchange());
+        if (then != null) {
+          then.accept(respond.answer());
+        }
+      } else if (effect instanceof Effect.Call call) {
+        Sabotage s = new Sabotage();
+        s.request = call.request();
+        sabotage.accept(s);
+        boolean[] replied = {false};
+        Consumer<Reply> once = reply -> {
+          if (!replied[0] && thisRun == run && core != null) {
+            replied[0] = true;
+            handle(new Event.Replied(call.call(), reply));
+          }
+        };
+        clock.after(timeout(s.request), () -> once.accept(new Reply.Lost("timeout")));
+        carry(this, s.request, once);
+      }
+    }
+  }
+
+  Day(long seed, Consumer<Sabotage> sabotage) {
+    this.random = new Random(seed);
+    this.net = new Net(clock, random);
+    this.sabotage = sabotage;
+    for (int i = 0; i < 3; i++) {
+      nodes[i] = new Node(i);
+      nodes[i].start();
+    }
+    sweepRules();
+  }
+
+  private static Settings settings(String node, List<String> peers) {
+    Map<String, Settings.Team> teams = new LinkedHashMap<>();
+    teams.put("red", new Settings.Team("red", 8, LIMIT, 0, 0));
+    teams.put("blue", new Settings.Team("blue", 8, LIMIT, 0, 0));
+    return new Settings(node, peers, ZONES, teams, List.of(), 3_000_000, 15_000_000, 32_000_000, 200, 80, 32768, 12, 8,
+        3_000_000, Settings.Tuning.defaults());
+  }
+
+  long leaseMicros() {
+    return 15_000_000;
+  }
+
+  int indexOf(String name) {
+    return Integer.parseInt(name.substring(1));
+  }
+
+  private static long timeout(Request request) {
+    if (request instanceof Request.StoreWatch w) {
+      return w.holdMicros() + 2_000_000;
+    }
+    return request instanceof Request.CloudRent || request instanceof Request.CloudDelete ? 5_000_000 : 2_000_000;
+  }
+
+  private void carry(Node from, Request request, Consumer<Reply> reply) {
+    if (request instanceof Request.WorkerCommands || request instanceof Request.WorkerStatus) {
+      String to = request instanceof Request.WorkerCommands c ? c.address()
+          : ((Request.WorkerStatus) request).address();
+      net.send(from.name(), to, () -> {
+        Worker w = workers.get(to);
+        if (w != null) {
+          w.direct(request, r -> net.send(to, from.name(), () -> reply.accept(r)));
+        }
+      });
+    } else if (request instanceof Request.PeerRelay relay) {
+      Node peer = nodes[indexOf(relay.peer())];
+      net.send(from.name(), peer.name(), () -> {
+        if (peer.core != null) {
+          peer.exchanges.put(++peer.lastExchange,
+              answer -> net.send(peer.name(), from.name(), () -> reply.accept(new Reply.Relayed(answer))));
+          peer.handle(new Event.Reported(peer.lastExchange, relay.report(), true));
+        }
+      });
+    } else if (request instanceof Request.CloudRent || request instanceof Request.CloudDelete
+        || request instanceof Request.CloudList || request instanceof Request.CloudCatalog) {
+      net.send(from.name(), "cloud", () -> cloud(request, r -> net.send("cloud", from.name(), () -> reply.accept(r))));
+    } else {
+      net.send(from.name(), "state",
+          () -> state.serve(from.name(), request, r -> net.send("state", from.name(), () -> reply.accept(r))));
+    }
+  }
+
+  private void cloud(Request request, Consumer<Reply> reply) {
+    if (cloudDown) {
+      reply.accept(new Reply.Refused(503));
+    } else if (request instanceof Request.CloudCatalog) {
+      reply.accept(new Reply.Catalog(List.of(TYPE)));
+    } else if (request instanceof Request.CloudRent rent) {
+      reply.accept(new Reply.Rented(charters.computeIfAbsent(rent.request(), r -> rent(rent))));
+    } else if (request instanceof Request.CloudDelete delete) {
+      for (String id : delete.machines()) {
+        Worker w = workers.remove(id);
+        if (w != null) {
+          w.die();
+        }
+        rentedAt.remove(id);
+      }
+      reply.accept(new Reply.Applied(0));
+    } else {
+      List<Reply.CloudMachine> list = new ArrayList<>();
+      workers.values().forEach(w -> list.add(new Reply.CloudMachine(w.id, w.id, w.type, w.zone, w.spot, "running",
+          clock.now() - rentedAt.getOrDefault(w.id, 0L))));
+      reply.accept(new Reply.CloudMachines(list, false));
+    }
+  }
+
+  private List<String> rent(Request.CloudRent rent) {
+    List<String> ids = new ArrayList<>();
+    for (int i = 0; i < rent.count() && rentedAt.size() < 10; i++) {
+      String id = String.format("i-%06d", ++machines);
+      ids.add(id);
+      rentedAt.put(id, clock.now());
+      clock.after(4_000_000 + random.nextInt(8_000_000), () -> {
+        if (rentedAt.containsKey(id)) {
+          workers.put(id, new Worker(this, id, rent.type(), rent.zone(), rent.spot()));
+        }
+      });
+    }
+    return ids;
+  }
+
+  /** A worker's report to a node. */
+  void toNode(String worker, int index, MachineReport report, Consumer<Answer> answered) {
+    Node n = nodes[index];
+    net.send(worker, n.name(), () -> ask(n, x -> new Event.Reported(x, report, false),
+        a -> net.send(n.name(), worker, () -> answered.accept(a))));
+  }
+
+  private void ask(Node n, LongFunction<Event> event, Consumer<Answer> answered) {
+    if (n.core != null) {
+      n.exchanges.put(++n.lastExchange, answered);
+      n.handle(event.apply(n.lastExchange));
+    }
+  }
+
+  // Users.
+
+  void submit(JobSpec spec) {
+    submitted.put(spec.id(), spec);
+    trySubmit(spec, 0);
+  }
+
+  private void trySubmit(JobSpec spec, int tries) {
+    if (tries > 200) {
+      return;
+    }
+    boolean[] over = {false};
+    clock.after(2_000_000, () -> {
+      if (!over[0]) {
+        trySubmit(spec, tries + 1);
+      }
+    });
+    ask(nodes[random.nextInt(3)], x -> new Event.Submit(x, spec.id(), spec, null), a -> {
+      if (a instanceof Answer.JobView view) {
+        over[0] = true;
+        boolean first = accepted.add(spec.id());
+        heard(view);
+        if (first) {
+          poll(spec.id());
+        }
+      } else if (a instanceof Answer.Failure f && (f.status() == 400 || f.status() == 422)) {
+        breaks("forgotten: " + spec.id() + " refused " + f);
+      }
+    });
+  }
+
+  private void poll(String id) {
+    Answer.Phase now = told.get(id);
+    if (now == Answer.Phase.DONE || now == Answer.Phase.CANCELLED) {
+      clock.after(20_000_000, () -> poll(id));
+    } else {
+      clock.after(2_000_000 + random.nextInt(2_000_000), () -> poll(id));
+    }
+    ask(nodes[random.nextInt(3)], x -> new Event.Poll(x, id), a -> {
+      if (a instanceof Answer.JobView view) {
+        heard(view);
+      } else if (a instanceof Answer.Failure f && f.status() == 404) {
+        breaks("forgotten: " + id);
+      }
+    });
+  }
+
+  void pollUnknown(String id) {
+    ask(nodes[random.nextInt(3)], x -> new Event.Poll(x, id), a -> {
+      if (a instanceof Answer.JobView) {
+        breaks("invented: " + id);
+      }
+    });
+  }
+
+  void cancel(String id) {
+    askedToCancel.add(id);
+    Answer.Phase now = told.get(id);
+    if (now == Answer.Phase.DONE || now == Answer.Phase.CANCELLED) {
+      return;
+    }
+    clock.after(1_500_000, () -> cancel(id));
+    ask(nodes[random.nextInt(3)], x -> new Event.Cancel(x, id), a -> {
+      if (a instanceof Answer.JobView view) {
+        heard(view);
+      }
+    });
+  }
+
+  private void heard(Answer.JobView view) {
+    Answer.Phase before = told.get(view.id());
+    boolean wasFinal = before == Answer.Phase.DONE || before == Answer.Phase.CANCELLED;
+    if (wasFinal && view.phase() != before) {
+      breaks("went_back: " + view.id() + " from " + before + " to " + view.phase());
+    }
+    if (view.phase() == Answer.Phase.CANCELLED) {
+      cancelledAt.putIfAbsent(view.id(), clock.now());
+      if (!askedToCancel.contains(view.id())) {
+        breaks("went_back: " + view.id() + " cancelled by nobody");
+      }
+    }
+    if (view.phase() == Answer.Phase.DONE) {
+      for (int i = 0; i < submitted.get(view.id()).tasks(); i++) {
+        if (!completed.contains(new TaskId(view.id(), i))) {
+          breaks("not_done: " + view.id() + "/" + i);
+        }
+      }
+    }
+    told.put(view.id(), view.phase());
+  }
+
+  // What happens on machines.
+
+  void on(TaskId task, Worker worker) {
+    started++;
+    JobSpec spec = submitted.get(task.job());
+    if (on.containsKey(task)) {
+      breaks("ran_twice: " + task + " on " + on.get(task) + " and " + worker.id);
+      return;
+    }
+    on.put(task, worker.id);
+    double use = teamUse.merge(spec.team(), spec.cpus(), Double::sum);
+    if (use > LIMIT + 1e-6) {
+      breaks("quota: " + spec.team() + " uses " + use);
+    }
+    if (!spec.allows(worker.type, worker.zone, worker.spot)) {
+      breaks("wrong_place: " + task + " on " + worker.id);
+    }
+    int inZone = 0;
+    for (Map.Entry<TaskId, String> e : on.entrySet()) {
+      Worker w = workers.get(e.getValue());
+      if (e.getKey().job().equals(task.job()) && w != null) {
+        inZone += w.zone.equals(worker.zone) ? 1 : 0;
+        if (spec.oneZone() && !w.zone.equals(worker.zone)) {
+          breaks("wrong_place: " + task + " not in one zone");
+        }
+      }
+    }
+    if (inZone > spec.mostPerZone()) {
+      breaks("wrong_place: " + task + " too many in zone " + worker.zone);
+    }
+    Long cancelled = cancelledAt.get(task.job());
+    if (cancelled != null && clock.now() > cancelled + 32_000_000) {
+      breaks("ran_cancelled: " + task + " starts");
+    }
+  }
+
+  void off(TaskId task) {
+    if (on.remove(task) != null) {
+      teamUse.merge(submitted.get(task.job()).team(), -submitted.get(task.job()).cpus(), Double::sum);
+    }
+  }
+
+  void offIf(TaskId task, String worker) {
+    if (worker.equals(on.get(task))) {
+      off(task);
+    }
+  }
+
+  void completed(TaskId task) {
+    completed.add(task);
+  }
+
+  /** 0 for a task that runs until it is cancelled. */
+  long runMicros(TaskId task) {
+    JobSpec spec = submitted.get(task.job());
+    if (completed.contains(task)) {
+      return 1;
+    }
+    return spec.shape() == JobSpec.Shape.SERVICE ? 0 : spec.estimateMicros() / 2 + random.nextInt(1 + (int) spec.estimateMicros());
+  }
+
+  boolean mistaken(String job) {
+    return submitted.get(job).image().equals("mistake");
+  }
+
+  private void sweepRules() {
+    clock.after(1_000_000, this::sweepRules);
+    for (TaskId task : on.keySet()) {
+      Long cancelled = cancelledAt.get(task.job());
+      if (cancelled != null && clock.now() > cancelled + 32_000_000) {
+        breaks("ran_cancelled: " + task + " still on " + on.get(task));
+      }
+    }
+  }
+
+  private void breaks(String what) {
+    if (broken.size() < 20) {
+      broken.add(clock.now() / 1000 + " ms: " + what);
+    }
+  }
+
+  // Faults.
+
+  void crash(int node, long forMicros) {
+    if (nodes[node].core != null) {
+      nodes[node].crash();
+      clock.after(forMicros, nodes[node]::start);
+    }
+  }
+
+  void stateOutage(long micros) {
+    state.down(true);
+    clock.after(micros, () -> state.down(false));
+  }
+
+  void refuseOne(int node, long micros) {
+    state.refused.add("n" + node);
+    clock.after(micros, () -> state.refused.remove("n" + node));
+  }
+
+  void cloudOutage(long micros) {
+    cloudDown = true;
+    clock.after(micros, () -> cloudDown = false);
+  }
+
+  void cutNodeFromState(int node, long micros) {
+    net.cut("n" + node, "state", micros);
+  }
+
+  void cutNodeFromWorkers(int node, long micros) {
+    workers.keySet().forEach(w -> net.cut("n" + node, w, micros));
+  }
+
+  void cutNodeFromPeers(int node, long micros) {
+    for (int i = 0; i < 3; i++) {
+      if (i != node) {
+        net.cut("n" + node, "n" + i, micros);
+      }
+    }
+  }
+
+  void cutWorker(Worker w, long micros) {
+    for (int i = 0; i < 3; i++) {
+      net.cut("n" + i, w.id, micros);
+    }
+  }
+
+  Worker anyWorker() {
+    List<Worker> all = new ArrayList<>(workers.values());
+    return all.isEmpty() ? null : all.get(random.nextInt(all.size()));
+  }
+
+  void take(Worker w, long noticeMicros) {
+    w.noticeAtMicros = clock.now() + noticeMicros;
+    clock.after(noticeMicros, () -> {
+      workers.remove(w.id);
+      rentedAt.remove(w.id);
+      w.die();
+    });
+  }
+
+  int leader() {
+    for (Node n : nodes) {
+      if (n.core != null && n.core.leads()) {
+        return n.index;
+      }
+    }
+    return random.nextInt(3);
+  }
+
+  /** Accepted jobs that should be over by now and are not known to be. */
+  List<String> unfinished() {
+    return accepted.stream().filter(id -> submitted.get(id).shape() == JobSpec.Shape.ARRAY && !mistaken(id)
+        && told.get(id) != Answer.Phase.DONE && told.get(id) != Answer.Phase.CANCELLED).sorted().toList();
+  }
+
+  int mostWrites() {
+    return state.mostWrites;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/eiderstair/sim/StateService.java
@@ -0,0 +1,174 @@
+package org.eiderstair.sim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.eiderstair.core.Reply;
+import org.eiderstair.core.Request;
+
+/** A stand-in for the state service, to the letter of its contract as far as the core uses it. */
+final class StateService {
+  private record Lease(long ttlMicros, long endMicros) {}
+
+  private record Watch(String prefix, long after, Consumer<Reply> reply) {}
+
+  private final Clock clock;
+  private final TreeMap<String, Reply.Item> items = new TreeMap<>();
+  private final Map<String, Long> attached = new HashMap<>();
+  private final Map<Long, Lease> leases = new HashMap<>();
+  private final List<Reply.Item> log = new ArrayList<>();
+  private final List<Watch> watches = new ArrayList<>();
+  private long revision;
+  private long lastLease;
+  private boolean down;
+  final Set<String> refused = new HashSet<>();
+  int mostWrites;
+
+  StateService(Clock clock) {
+    this.clock = clock;
+    tick();
+  }
+
+  void down(boolean isDown) {
+    if (down && !isDown) {
+      leases.replaceAll((id, l) -> new Lease(l.ttlMicros(), clock.now() + l.ttlMicros()));
+    }
+    down = isDown;
+    notifyWatches();
+  }
+
+  private void tick() {
+    clock.after(50_000, this::tick);
+    if (!down) {
+      for (Map.Entry<Long, Lease> e : new ArrayList<>(leases.entrySet())) {
+        if (clock.now() > e.getValue().endMicros()) {
+          endLease(e.getKey());
+        }
+      }
+    }
+    notifyWatches();
+  }
+
+  private void endLease(long id) {
+    leases.remove(id);
+    List<String> keys = attached.entrySet().stream().filter(e -> e.getValue() == id).map(Map.Entry::getKey).toList();
+    if (!keys.isEmpty()) {
+      revision++;
+      keys.forEach(this::drop);
+    }
+  }
+
+  private void drop(String key) {
+    if (items.remove(key) != null) {
+      attached.remove(key);
+      log.add(new Reply.Item(key, null, revision));
+    }
+  }
+
+  void serve(String node, Request request, Consumer<Reply> reply) {
+    if (request instanceof Request.StoreWatch w) {
+      watches.add(new Watch(w.prefix(), w.after(), reply));
+      clock.after(w.holdMicros(), () -> {
+        if (watches.removeIf(x -> x.reply() == reply)) {
+          reply.accept(new Reply.Changed(List.of(), revision));
+        }
+      });
+      notifyWatches();
+      return;
+    }
+    if (down || refused.contains(node)) {
+      reply.accept(new Reply.Refused(503));
+      return;
+    }
+    if (request instanceof Request.StoreTxn txn) {
+      reply.accept(txn(txn));
+    } else if (request instanceof Request.StoreGet get) {
+      reply.accept(new Reply.Found(items.get(get.key())));
+    } else if (request instanceof Request.StoreList list) {
+      List<Reply.Item> page = new ArrayList<>();
+      boolean more = false;
+      for (Reply.Item item : items.tailMap(list.after() == null ? list.prefix() : list.after(), list.after() == null)
+          .values()) {
+        if (!item.key().startsWith(list.prefix())) {
+          break;
+        }
+        if (page.size() == list.limit()) {
+          more = true;
+          break;
+        }
+        page.add(item);
+      }
+      reply.accept(new Reply.Listed(page, more, revision));
+    } else if (request instanceof Request.LeaseGrant grant) {
+      leases.put(++lastLease, new Lease(grant.ttlMicros(), clock.now() + grant.ttlMicros()));
+      reply.accept(new Reply.LeaseGranted(lastLease));
+    } else if (request instanceof Request.LeaseTouch touch) {
+      reply.accept(leases.computeIfPresent(touch.lease(),
+          (id, l) -> new Lease(l.ttlMicros(), clock.now() + l.ttlMicros())) == null
+          ? new Reply.Refused(404) : new Reply.Applied(0));
+    } else if (request instanceof Request.LeaseDrop drop) {
+      if (leases.containsKey(drop.lease())) {
+        endLease(drop.lease());
+      }
+      reply.accept(new Reply.Applied(0));
+    }
+  }
+
+  private Reply txn(Request.StoreTxn txn) {
+    mostWrites = Math.max(mostWrites, txn.writes().size());
+    if (txn.writes().stream().anyMatch(w -> w.lease() != 0 && !leases.containsKey(w.lease()))) {
+      return new Reply.Refused(400);
+    }
+    List<String> failed = new ArrayList<>();
+    for (Request.Condition c : txn.conditions()) {
+      Reply.Item item = items.get(c.key());
+      if ((item == null ? 0 : item.version()) != c.version()) {
+        failed.add(c.key());
+      }
+    }
+    if (!failed.isEmpty()) {
+      return new Reply.Conflict(failed, revision);
+    }
+    if (!txn.writes().isEmpty()) {
+      revision++;
+      for (Request.Write w : txn.writes()) {
+        if (w.value() == null) {
+          drop(w.key());
+          continue;
+        }
+        Reply.Item item = new Reply.Item(w.key(), w.value(), revision);
+        items.put(w.key(), item);
+        log.add(item);
+        attached.remove(w.key());
+        if (w.lease() != 0) {
+          attached.put(w.key(), w.lease());
+        }
+      }
+      notifyWatches();
+    }
+    return new Reply.Applied(revision);
+  }
+
+  private void notifyWatches() {
+    if (down) {
+      return;
+    }
+    for (Watch w : new ArrayList<>(watches)) {
+      List<Reply.Item> news = new ArrayList<>();
+      for (int i = log.size() - 1; i >= 0 && log.get(i).version() > w.after(); i--) {
+        if (log.get(i).key().startsWith(w.prefix())) {
+          news.add(0, log.get(i));
+        }
+      }
+      if (!news.isEmpty()) {
+        watches.remove(w);
+        w.reply().accept(new Reply.Changed(news, revision));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/eiderstair/sim/WholeDayTest.java
@@ -0,0 +1,141 @@
+package org.eiderstair.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import net.jqwik.api.Example;
+import org.eiderstair.core.JobSpec;
+import org.eiderstair.core.Order;
+import org.eiderstair.core.Request;
+
+/** Whole days with drawn faults, checked against every rule. */
+class WholeDayTest {
+  private static final long SECOND = 1_000_000;
+  private static final int DAYS = Integer.getInteger("sim.days", 60);
+  private static final long FIRST = Long.getLong("sim.first", 1);
+
+  private static JobSpec job(Day day, int number) {
+    boolean red = day.random.nextBoolean();
+    int kind = day.random.nextInt(12);
+    return new JobSpec(String.format("job-%06d", number), "any", red ? "red" : "blue",
+        kind == 0 ? JobSpec.Shape.SERVICE : JobSpec.Shape.ARRAY,
+        JobSpec.Priority.values()[day.random.nextInt(4)], kind == 0 ? 2 : 1 + day.random.nextInt(12),
+        1 + day.random.nextInt(3), 0, 1, kind == 1 ? "mistake" : "img", 0.5, null,
+        kind == 2 ? "b" : null, kind == 3 || kind == 4, kind == 5 || kind == 6, day.random.nextInt(3) > 0,
+        (3 + day.random.nextInt(15)) * SECOND, 0, 0, JobSpec.NO_DEADLINE);
+  }
+
+  private static void fault(Day day) {
+    long span = (2 + day.random.nextInt(35)) * SECOND;
+    Worker worker = day.anyWorker();
+    int node = day.random.nextInt(3);
+    switch (day.random.nextInt(16)) {
+      case 0 -> day.crash(day.leader(), 3 * SECOND);
+      case 1 -> day.crash(node, 3 * SECOND);
+      case 2 -> {
+        for (int i = 0; i < 3; i++) {
+          day.crash(i, (3 + i) * SECOND);
+        }
+      }
+      case 3 -> day.stateOutage(span);
+      case 4 -> day.refuseOne(day.leader(), span);
+      case 5 -> day.cutNodeFromState(day.leader(), span);
+      case 6 -> day.cutNodeFromWorkers(day.leader(), span);
+      case 7 -> day.cutNodeFromPeers(day.leader(), span);
+      case 8 -> day.cloudOutage(span);
+      case 9 -> {
+        day.cutNodeFromState(day.leader(), span);
+        day.cutNodeFromWorkers(day.leader(), span + 20 * SECOND);
+      }
+      case 10, 11 -> {
+        if (worker != null) {
+          worker.hang(span);
+        }
+      }
+      case 12 -> {
+        if (worker != null) {
+          day.cutWorker(worker, span);
+        }
+      }
+      case 13 -> {
+        if (worker != null) {
+          worker.sick = true;
+        }
+      }
+      case 14 -> {
+        if (worker != null && worker.spot) {
+          day.take(worker, day.random.nextInt(2) * 6 * SECOND);
+        }
+      }
+      default -> {
+        day.stateOutage(span / 2);
+        day.crash(node, 3 * SECOND);
+      }
+    }
+  }
+
+  static Day play(long seed, Consumer<Day.Sabotage> sabotage) {
+    Day day = new Day(seed, sabotage);
+    int jobs = 25;
+    for (int i = 0; i < jobs; i++) {
+      int number = i;
+      day.clock.after((3 + day.random.nextInt(200)) * SECOND, () -> {
+        JobSpec spec = job(day, number);
+        day.submit(spec);
+        if (spec.shape() == JobSpec.Shape.SERVICE || spec.image().equals("mistake") || day.random.nextInt(6) == 0) {
+          day.clock.after((5 + day.random.nextInt(60)) * SECOND, () -> day.cancel(spec.id()));
+        }
+        day.pollUnknown("job-9" + number);
+      });
+    }
+    int faults = 4 + day.random.nextInt(8);
+    for (int i = 0; i < faults; i++) {
+      day.clock.after((15 + day.random.nextInt(230)) * SECOND, () -> fault(day));
+    }
+    day.clock.runUntil(600 * SECOND);
+    return day;
+  }
+
+  @Example
+  void everyRuleHoldsOnDrawnDaysAndAllWorkIsDone() {
+    List<String> failures = new ArrayList<>();
+    for (long seed = FIRST; seed < FIRST + DAYS; seed++) {
+      Day day = play(seed, s -> { });
+      if (!day.broken.isEmpty() || !day.unfinished().isEmpty() || day.started == 0) {
+        failures.add("seed " + seed + ": " + day.broken + " unfinished " + day.unfinished());
+      }
+      assertTrue(day.mostWrites() <= 12, "transaction with " + day.mostWrites() + " writes");
+    }
+    assertEquals(List.of(), failures);
+  }
+
+  @Example
+  void aDayRepeatsExactly() {
+    assertEquals(play(7, s -> { }).started, play(7, s -> { }).started);
+  }
+
+  /** Commands without sessions and fences are what the simulator must notice: else the days above prove nothing. */
+  @Example
+  void aControllerThatLaunchesTwiceIsCaught() {
+    List<Request.WorkerCommands> earlier = new ArrayList<>();
+    boolean caught = false;
+    for (long seed = 1; seed < 20 && !caught; seed++) {
+      earlier.clear();
+      Day day = play(seed, s -> {
+        if (s.request instanceof Request.WorkerCommands c) {
+          c.orders().stream().filter(o -> o instanceof Order.Launch).findFirst().ifPresent(o -> earlier.add(c));
+          if (!earlier.isEmpty() && c.orders().isEmpty()) {
+            s.request = new Request.WorkerCommands(c.address(), c.token(), c.session(), earlier.get(0).orders());
+          }
+        }
+      });
+      caught = day.broken.stream().anyMatch(b -> b.contains("ran_twice") || b.contains("ran_cancelled"));
+    }
+    assertTrue(caught);
+    assertFalse(earlier.isEmpty());
+  }
+}
