--- a/src/test/java/org/eiderstair/sim/Worker.java
+++ b/src/test/java/org/eiderstair/sim/Worker.java
@@ -78,12 +78,13 @@
       return;
     }
     day.clock.after(100_000, this::tick);
-    if (hung()) {
-      return;
-    }
+    // A hung machine may go on only within its lease.
     if (day.clock.now() > answeredSentMicros + day.leaseMicros()) {
       newSession();
     }
+    if (hung()) {
+      return;
+    }
     List<Runnable> waiting = new ArrayList<>(whileHung);
     whileHung.clear();
     waiting.forEach(Runnable::run);
