--- a/src/main/java/org/eiderstair/core/Machine.java
+++ b/src/main/java/org/eiderstair/core/Machine.java
@@ -131,6 +131,14 @@
     return Math.max(0, freeCpus);
   }
 
+  double freeAccelerators() {
+    return Math.max(0, freeAccelerators);
+  }
+
+  double freeMemory() {
+    return Math.max(0, freeMemory);
+  }
+
   boolean hasRoom() {
     return freeCpus > 1e-6 && freeMemory > 1e-6;
   }
--- a/src/main/java/org/eiderstair/core/Renting.java
+++ b/src/main/java/org/eiderstair/core/Renting.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -124,8 +125,10 @@
         silent += isSilent(m) ? 1 : 0;
       }
     }
-    // When most machines are silent, the fault is more likely ours than theirs.
+    // When most machines are silent, the fault is more likely ours than theirs. But it need not be: machines
+    // deleted just before a crash are still rostered, and must not hold everything back for ever.
     boolean cutOff = silent > 2 && silent * 2 > heard;
+    long patience = settings.tuning().unheardDeleteMicros() * (cutOff ? 3 : 1);
     for (Machine m : fleet.machines.values()) {
       if (m.plan == Machine.Plan.DELETE) {
         toDelete.add(m.id);
@@ -135,7 +138,7 @@
       if (m.phase == Machine.Phase.BOOTING) {
         long boot = m.type == null ? 60_000_000L : m.type.bootMicros();
         why = now > m.sinceMicros + boot * BOOT_PATIENCE ? "never came up" : null;
-      } else if (isSilent(m) && !cutOff) {
+      } else if (now > m.heardMicros + patience) {
         why = "silent";
       } else if (m.plan == Machine.Plan.DRAIN && m.attempts.isEmpty() && m.phase == Machine.Phase.HEARD) {
         why = "drained";
@@ -143,10 +146,7 @@
         why = "idle";
       }
       if (why != null) {
-        ports.info("returning machine " + m.id + ": " + why + ", term=" + term);
-        fleet.drain(m);
-        m.plan = Machine.Plan.DELETE;
-        toDelete.add(m.id);
+        returnNow(m, why);
       }
     }
   }
@@ -181,24 +181,49 @@
     });
   }
 
+  /** Room on a machine that is there or on its way, while the waiting work is spread over it on paper. */
+  private static final class Room {
+    final Machine machine;
+    double cpus;
+    double accelerators;
+    double memory;
+
+    Room(Machine m) {
+      machine = m;
+      boolean booting = m.phase == Machine.Phase.BOOTING;
+      cpus = booting ? m.type.cpus() : m.freeCpus();
+      accelerators = booting ? m.type.accelerators() : m.freeAccelerators();
+      memory = booting ? m.type.memoryGb() : m.freeMemory();
+    }
+
+    int take(JobSpec spec, int most) {
+      if (!machine.allows(spec)) {
+        return 0;
+      }
+      int tasks = Math.min(most, Math.min(times(cpus, spec.cpus()),
+          Math.min(times(accelerators, spec.accelerators()), times(memory, spec.memoryGb()))));
+      cpus -= tasks * spec.cpus();
+      accelerators -= tasks * spec.accelerators();
+      memory -= tasks * spec.memoryGb();
+      return tasks;
+    }
+
+    private static int times(double room, double each) {
+      return each <= 0 ? Integer.MAX_VALUE : (int) Math.floor(room / each + 1e-6);
+    }
+  }
+
   /** Rents for what waits beyond the room that is free or on its way; spot where the work allows it. */
   private void rent(Placement placement) {
     Teams teams = placement.measure();
-    double freeOrdinary = 0;
-    double freeSpot = 0;
+    List<Room> rooms = new ArrayList<>();
     for (Machine m : fleet.machines.values()) {
-      if (m.plan != Machine.Plan.USE || m.type == null) {
-        continue;
-      }
-      double room = m.phase == Machine.Phase.BOOTING ? m.type.cpus() : m.freeCpus();
-      if (m.spot) {
-        freeSpot += room;
-      } else {
-        freeOrdinary += room;
+      if (m.plan == Machine.Plan.USE && m.type != null) {
+        rooms.add(new Room(m));
       }
     }
-    Map<Offer, Double> wanted = new LinkedHashMap<>();
-    Map<String, Double> headroom = new HashMap<>();
+    // Work that may not use spot machines gets the ordinary ones; work that may takes spot room first.
+    rooms.sort((a, b) -> Boolean.compare(b.machine.spot, a.machine.spot));
     List<Job> waiting = new ArrayList<>();
     for (Job job : replica.open.values()) {
       if (job.waiting() + queued(job) > 0 && now >= job.notBeforeMicros && job.failedOn.size() < 3) {
@@ -206,30 +231,32 @@
       }
     }
     waiting.sort((a, b) -> Boolean.compare(a.spec().spotAllowed(), b.spec().spotAllowed()));
+    Map<Offer, Double> wanted = new LinkedHashMap<>();
+    Map<String, Double> headroom = new HashMap<>();
     for (Job job : waiting) {
       JobSpec spec = job.spec();
       double left = headroom.computeIfAbsent(spec.team(), teams::headroom);
-      double cpus = Math.min(left, (job.waiting() + queued(job)) * Math.max(spec.cpus(), 0.1));
-      headroom.put(spec.team(), left - cpus);
-      // Short tasks that wait are soon served by what is there.
-      cpus *= Math.min(1, Math.max(0.3, spec.estimateMicros() / QUICK_TASK_MICROS));
-      if (spec.spotAllowed()) {
-        double served = Math.min(cpus, freeSpot);
-        freeSpot -= served;
-        cpus -= served;
+      int tasks = Math.min(job.waiting(), (int) Math.min(Integer.MAX_VALUE, left / Math.max(spec.cpus(), 1e-3)))
+          + queued(job);
+      headroom.put(spec.team(), left - tasks * spec.cpus());
+      for (Room room : rooms) {
+        tasks -= room.take(spec, tasks);
       }
-      double served = Math.min(cpus, freeOrdinary);
-      freeOrdinary -= served;
-      cpus -= served;
-      Offer offer = cpus > 0.5 ? choose(spec) : null;
+      Offer offer = tasks > 0 ? choose(spec) : null;
       if (offer != null) {
-        wanted.merge(offer, cpus, Double::sum);
+        // Short tasks that wait are soon served by what is there.
+        double urgency = Math.min(1, Math.max(0.3, spec.estimateMicros() / QUICK_TASK_MICROS));
+        wanted.merge(offer, tasks * share(spec, type(offer.type())) * urgency, Double::sum);
       }
     }
-    wanted.forEach((offer, cpus) -> {
-      MachineType type = type(offer.type());
-      rent(offer, Math.min(settings.tuning().rentBatch(), (int) Math.ceil(cpus / type.cpus())));
-    });
+    wanted.forEach((offer, machines) ->
+        rent(offer, Math.min(settings.tuning().rentBatch(), (int) Math.ceil(machines))));
+  }
+
+  /** What part of a machine one task takes. */
+  private static double share(JobSpec spec, MachineType type) {
+    double share = Math.max(spec.cpus() / type.cpus(), spec.memoryGb() / type.memoryGb());
+    return type.accelerators() > 0 ? Math.max(share, spec.accelerators() / type.accelerators()) : share;
   }
 
   private static int queued(Job job) {
@@ -321,7 +348,12 @@
     });
   }
 
+  private final Set<String> listed = new HashSet<>();
+
   private void list(String after) {
+    if (after == null) {
+      listed.clear();
+    }
     calls.take(1);
     ports.call(new Request.CloudList(after), reply -> {
       if (closed || !(reply instanceof Reply.CloudMachines page)) {
@@ -329,18 +361,37 @@
         return;
       }
       String last = null;
-      for (Reply.CloudMachine listed : page.machines()) {
-        last = listed.id();
-        seen(listed);
+      for (Reply.CloudMachine machine : page.machines()) {
+        last = machine.id();
+        listed.add(last);
+        seen(machine);
       }
       if (page.more() && last != null) {
         list(last);
       } else {
         listing = false;
+        returnUnlisted();
       }
     });
   }
 
+  /** A rostered machine that is neither heard nor listed is most likely gone; its deletion costs nothing and proves it. */
+  private void returnUnlisted() {
+    for (Machine m : fleet.machines.values()) {
+      if (m.phase == Machine.Phase.UNHEARD && m.plan != Machine.Plan.DELETE && !listed.contains(m.id)
+          && now > m.sinceMicros + 2_000_000) {
+        returnNow(m, "neither heard nor listed");
+      }
+    }
+  }
+
+  private void returnNow(Machine m, String why) {
+    ports.info("returning machine " + m.id + ": " + why + ", term=" + term);
+    fleet.drain(m);
+    m.plan = Machine.Plan.DELETE;
+    toDelete.add(m.id);
+  }
+
   private void seen(Reply.CloudMachine listed) {
     if (fleet.gone.contains(listed.id())) {
       return;
