--- a/src/main/java/org/eiderstair/core/Fleet.java
+++ b/src/main/java/org/eiderstair/core/Fleet.java
@@ -147,6 +147,9 @@
     if (report.session() > m.session && m.session > 0) {
       ports.info("machine " + m.id + " lost its lease and began session " + report.session() + ", term=" + term);
       freeAll(m, "new session");
+      // Found by the simulator (a leader cut from its workers): a new session has its full lease from its own
+      // beginning, whenever we last answered the session before.
+      m.answeredMicros = now;
     }
     m.session = report.session();
     m.sequence = report.sequence();
