--- /dev/null
+++ b/src/main/java/org/eiderstair/core/Demand.java
@@ -0,0 +1,102 @@
+package org.eiderstair.core;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * How many tasks of each class should run at once for its jobs to be in time. A job's remaining work is spread
+ * over the time until it is due, so work with slack waits for machines that are there rather than for new ones;
+ * the highest recent demand is held for a while, since a new machine takes a while to come.
+ */
+final class Demand {
+  private static final double HOLD_MICROS = 90e6;
+  /** Estimates are often too low and room is not always where it is needed: plan to be ready early. */
+  private static final double EARLY = 0.7;
+  private static final double NO_AIM_FACTOR = 4;
+  private static final long NO_AIM_MICROS = 60_000_000;
+
+  /** So many tasks like this one should run at once. */
+  record Wish(JobSpec spec, double tasks) {}
+
+  private static final class Held {
+    JobSpec spec;
+    double now;
+    double peak;
+  }
+
+  private final Settings settings;
+  private final Replica replica;
+  private final Map<String, Held> classes = new LinkedHashMap<>();
+  private long measuredMicros;
+
+  Demand(Settings settings, Replica replica) {
+    this.settings = settings;
+    this.replica = replica;
+  }
+
+  /** Work that may use fewer kinds of machines comes first, so that it gets those. */
+  List<Wish> measure(long nowMicros) {
+    double fade = Math.exp(-(nowMicros - measuredMicros) / HOLD_MICROS);
+    measuredMicros = nowMicros;
+    classes.values().forEach(h -> h.now = 0);
+    for (Job job : replica.open.values()) {
+      JobSpec spec = job.spec();
+      if (job.failedOn.size() >= 3) {
+        continue;
+      }
+      String key = spec.jobClass() + " " + spec.team() + " " + spec.machineTypes() + " " + spec.zone();
+      Held held = classes.computeIfAbsent(key, k -> new Held());
+      held.spec = spec;
+      held.now += atOnce(job, nowMicros);
+    }
+    List<Wish> wishes = new ArrayList<>();
+    Map<String, Double> teams = new LinkedHashMap<>();
+    for (Held held : classes.values()) {
+      held.peak = Math.max(held.now, held.peak * fade);
+      Settings.Team team = settings.teams().get(held.spec.team());
+      double limit = team == null || team.cpusMax() <= 0 ? Double.MAX_VALUE : team.cpusMax();
+      double used = teams.getOrDefault(held.spec.team(), 0.0);
+      double tasks = Math.min(held.peak, (limit - used) / Math.max(held.spec.cpus(), 1e-3));
+      teams.put(held.spec.team(), used + tasks * held.spec.cpus());
+      if (tasks > 0.05) {
+        wishes.add(new Wish(held.spec, tasks));
+      }
+    }
+    wishes.sort(Comparator.comparing((Wish w) -> w.spec().spotAllowed()));
+    return wishes;
+  }
+
+  private double atOnce(Job job, long nowMicros) {
+    JobSpec spec = job.spec();
+    double estimate = Math.max(spec.estimateMicros(), 1e6);
+    if (spec.shape() == JobSpec.Shape.SERVICE) {
+      return spec.tasks();
+    }
+    double work = job.waiting() * estimate;
+    for (Attempt a : job.active.values()) {
+      boolean runs = a.shown == MachineReport.TaskState.RUNNING;
+      double left = runs ? estimate - (nowMicros - a.runningSinceMicros) : estimate;
+      work += Math.max(left, estimate / 5);
+    }
+    double window = Math.max((job.seenMicros + allowed(spec) - nowMicros) * EARLY, estimate);
+    return Math.min(job.unfinished(), work / window);
+  }
+
+  /** How long after its submission a job should be complete. */
+  private double allowed(JobSpec spec) {
+    double allowed = Double.MAX_VALUE;
+    if (spec.deadlineMicros() != JobSpec.NO_DEADLINE) {
+      allowed = spec.deadlineMicros();
+    }
+    for (Settings.Objective o : settings.objectives()) {
+      if (o.jobClass().equals(spec.jobClass()) && o.withinMicros() > 0) {
+        boolean toStart = o.kind().equals("wait");
+        allowed = Math.min(allowed, o.withinMicros() + (toStart ? spec.estimateMicros() : 0));
+      }
+    }
+    return allowed == Double.MAX_VALUE ? NO_AIM_FACTOR * spec.estimateMicros() + NO_AIM_MICROS : allowed;
+  }
+}
--- a/src/main/java/org/eiderstair/core/Fleet.java
+++ b/src/main/java/org/eiderstair/core/Fleet.java
@@ -211,9 +211,11 @@
       }
       if (known.shown != entry.state()) {
         known.shown = entry.state();
+        if (known.spec != null) {
+          m.images.add(known.spec.image());
+        }
         if (entry.state() == MachineReport.TaskState.RUNNING) {
           known.runningSinceMicros = now;
-          m.images.add(known.spec == null ? "" : known.spec.image());
           noteRunning(known.job);
         }
       }
@@ -239,6 +241,7 @@
     a.shown = entry.state();
     a.runningSinceMicros = now;
     m.attempts.put(entry.task(), a);
+    m.images.add(job.spec().image());
     job.active.put(a.index, a);
   }
 
--- a/src/main/java/org/eiderstair/core/Job.java
+++ b/src/main/java/org/eiderstair/core/Job.java
@@ -139,6 +139,15 @@
     return tasks - done.cardinality();
   }
 
+  boolean hasQueued() {
+    for (Attempt a : active.values()) {
+      if (a.phase == Attempt.Phase.QUEUED) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   int waiting() {
     return tasks - done.cardinality() - active.size();
   }
--- a/src/main/java/org/eiderstair/core/Placement.java
+++ b/src/main/java/org/eiderstair/core/Placement.java
@@ -62,7 +62,7 @@
     Map<Job, Integer> rank = new HashMap<>();
     for (Job job : replica.open.values()) {
       boolean heldBack = unheard && job.version() < term;
-      if (!heldBack && nowMicros >= job.notBeforeMicros && job.waiting() > 0) {
+      if (!heldBack && nowMicros >= job.notBeforeMicros && (job.waiting() > 0 || job.hasQueued())) {
         jobs.add(job);
         rank.put(job, measured.withinGuarantee(job.spec()) ? 0 : 1);
       }
@@ -103,19 +103,17 @@
     JobSpec spec = job.spec();
     int most = job.failedOn.size() >= 3 ? 1 : Integer.MAX_VALUE;
     Map<String, Integer> perZone = zonesOf(job);
+    leaveQueues(job, perZone, nowMicros);
     for (int index = job.nextFree(0); index >= 0; index = job.nextFree(index + 1)) {
       if (job.active.size() >= most || !teams.allowsOneMore(spec)) {
         return;
       }
-      String only = spec.oneZone() ? chosenZone(job, perZone, nowMicros) : null;
-      Predicate<Machine> allowed = m -> m.usable(nowMicros) && m.allows(spec) && !job.failedOn.contains(m.id)
-          && (only == null || only.equals(m.zone))
-          && (!spec.spread() || perZone.getOrDefault(m.zone, 0) < spec.mostPerZone());
-      Machine m = tokens.draw(allowed.and(x -> x.fits(spec)), random);
+      Predicate<Machine> allowed = allowed(job, perZone, nowMicros);
+      Machine m = draw(job, allowed);
       if (m == null && !job.failedOn.isEmpty()) {
         // Every machine that is left has failed this job: rather one of those than never.
         m = tokens.draw(x -> x.usable(nowMicros) && x.allows(spec) && x.fits(spec) && !spec.oneZone()
-            && !spec.spread(), random);
+            && !spec.spread(), x -> 0, random);
       }
       Attempt.Phase phase = Attempt.Phase.PLANNED;
       if (m == null) {
@@ -130,6 +128,43 @@
     }
   }
 
+  /** A token beats a place in a queue: what waits for one machine takes another that has room first. */
+  private void leaveQueues(Job job, Map<String, Integer> perZone, long nowMicros) {
+    for (Attempt a : new ArrayList<>(job.active.values())) {
+      if (a.phase != Attempt.Phase.QUEUED) {
+        continue;
+      }
+      perZone.merge(a.machine.zone, -1, Integer::sum);
+      Machine m = draw(job, allowed(job, perZone, nowMicros));
+      if (m == null) {
+        perZone.merge(a.machine.zone, 1, Integer::sum);
+        return;
+      }
+      fleet.remove(a);
+      put(job, a.index, m, Attempt.Phase.PLANNED, nowMicros);
+      perZone.merge(m.zone, 1, Integer::sum);
+    }
+  }
+
+  private Predicate<Machine> allowed(Job job, Map<String, Integer> perZone, long nowMicros) {
+    JobSpec spec = job.spec();
+    String only = spec.oneZone() ? chosenZone(job, perZone, nowMicros) : null;
+    return m -> m.usable(nowMicros) && m.allows(spec) && !job.failedOn.contains(m.id)
+        && (only == null || only.equals(m.zone))
+        && (!spec.spread() || perZone.getOrDefault(m.zone, 0) < spec.mostPerZone());
+  }
+
+  /**
+   * The paper's uniform draw, among the tokens that suit best: cheap machines for work that may use them, so that
+   * the others stay free for work that may not, or can be returned; then those that have the image; then those
+   * already in use.
+   */
+  private Machine draw(Job job, Predicate<Machine> allowed) {
+    JobSpec spec = job.spec();
+    return tokens.draw(allowed.and(m -> m.fits(spec)), m -> (m.spot ? 4 : 0)
+        + (m.images.contains(spec.image()) ? 2 : 0) + (m.attempts.isEmpty() ? 0 : 1), random);
+  }
+
   private void put(Job job, int index, Machine m, Attempt.Phase phase, long nowMicros) {
     Attempt a = new Attempt(job, index, fleet.nextAttempt(), m, phase, nowMicros);
     job.active.put(index, a);
@@ -169,7 +204,11 @@
   /** The zone of the job's other tasks; for a job with none, the zone with the most room for it. */
   private String chosenZone(Job job, Map<String, Integer> perZone, long nowMicros) {
     if (!perZone.isEmpty()) {
-      return perZone.keySet().iterator().next();
+      for (Map.Entry<String, Integer> zone : perZone.entrySet()) {
+        if (zone.getValue() > 0) {
+          return zone.getKey();
+        }
+      }
     }
     Map<String, Double> room = new HashMap<>();
     for (Machine m : fleet.machines.values()) {
--- a/src/main/java/org/eiderstair/core/Renting.java
+++ b/src/main/java/org/eiderstair/core/Renting.java
@@ -1,6 +1,7 @@
 package org.eiderstair.core;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -17,7 +18,6 @@
   private static final long REFUSED_PAUSE_MICROS = 15_000_000;
   private static final long RETRY_MICROS = 1_500_000;
   private static final long CHEAPEST_LIFE_MICROS = 60_000_000;
-  private static final double QUICK_TASK_MICROS = 30e6;
   private static final int BOOT_PATIENCE = 4;
 
   /** A kind of machine in one zone: what a rental names, and what the cloud refuses by. */
@@ -30,6 +30,7 @@
   private final Leadership leadership;
   private final long term;
   private final RateBudget calls;
+  private final Demand demand;
   private boolean closed;
   private long now;
   private long requests;
@@ -51,6 +52,7 @@
     this.fleet = fleet;
     this.leadership = leadership;
     this.term = term;
+    this.demand = new Demand(settings, replica);
     this.calls = new RateBudget(settings.cloudRps() * 0.7);
   }
 
@@ -58,7 +60,7 @@
     closed = true;
   }
 
-  void tick(long nowMicros, Placement placement) {
+  void tick(long nowMicros) {
     now = nowMicros;
     if (!leadership.mayCommand(now)) {
       return;
@@ -69,8 +71,8 @@
     if (now >= nextDecideMicros) {
       nextDecideMicros = now + DECIDE_EVERY_MICROS;
       retire();
-      if (rentalsInFlight == 0 && !replica.catalog().isEmpty()) {
-        rent(placement);
+      if (!replica.catalog().isEmpty()) {
+        balance();
       }
     }
     if (!deleting && !toDelete.isEmpty() && now >= deleteNotBefore && mayCall()) {
@@ -142,8 +144,6 @@
         why = "silent";
       } else if (m.plan == Machine.Plan.DRAIN && m.attempts.isEmpty() && m.phase == Machine.Phase.HEARD) {
         why = "drained";
-      } else if (isIdle(m)) {
-        why = "idle";
       }
       if (why != null) {
         returnNow(m, why);
@@ -181,90 +181,63 @@
     });
   }
 
-  /** Room on a machine that is there or on its way, while the waiting work is spread over it on paper. */
+  /** The part of a machine, there or on its way, that the demand has not yet taken on paper. */
   private static final class Room {
     final Machine machine;
-    double cpus;
-    double accelerators;
-    double memory;
+    double left = 1;
 
     Room(Machine m) {
       machine = m;
-      boolean booting = m.phase == Machine.Phase.BOOTING;
-      cpus = booting ? m.type.cpus() : m.freeCpus();
-      accelerators = booting ? m.type.accelerators() : m.freeAccelerators();
-      memory = booting ? m.type.memoryGb() : m.freeMemory();
     }
 
-    int take(JobSpec spec, int most) {
+    /** Takes room for that many tasks, not necessarily whole, and says for how many there was some. */
+    double take(JobSpec spec, double tasks) {
       if (!machine.allows(spec)) {
         return 0;
       }
-      int tasks = Math.min(most, Math.min(times(cpus, spec.cpus()),
-          Math.min(times(accelerators, spec.accelerators()), times(memory, spec.memoryGb()))));
-      cpus -= tasks * spec.cpus();
-      accelerators -= tasks * spec.accelerators();
-      memory -= tasks * spec.memoryGb();
-      return tasks;
+      double each = share(spec, machine.type);
+      double taken = Math.min(tasks, left / each);
+      left -= taken * each;
+      return taken;
     }
+  }
 
-    private static int times(double room, double each) {
-      return each <= 0 ? Integer.MAX_VALUE : (int) Math.floor(room / each + 1e-6);
-    }
+  /** What part of a machine one task takes. */
+  private static double share(JobSpec spec, MachineType type) {
+    double share = Math.max(spec.cpus() / type.cpus(), spec.memoryGb() / type.memoryGb());
+    share = type.accelerators() > 0 ? Math.max(share, spec.accelerators() / type.accelerators()) : share;
+    return Math.max(share, 1e-3);
   }
 
-  /** Rents for what waits beyond the room that is free or on its way; spot where the work allows it. */
-  private void rent(Placement placement) {
-    Teams teams = placement.measure();
+  /** Compares the demand with the machines that are there or on their way, and rents or returns the difference. */
+  private void balance() {
     List<Room> rooms = new ArrayList<>();
     for (Machine m : fleet.machines.values()) {
       if (m.plan == Machine.Plan.USE && m.type != null) {
         rooms.add(new Room(m));
       }
     }
-    // Work that may not use spot machines gets the ordinary ones; work that may takes spot room first.
-    rooms.sort((a, b) -> Boolean.compare(b.machine.spot, a.machine.spot));
-    List<Job> waiting = new ArrayList<>();
-    for (Job job : replica.open.values()) {
-      if (job.waiting() + queued(job) > 0 && now >= job.notBeforeMicros && job.failedOn.size() < 3) {
-        waiting.add(job);
-      }
-    }
-    waiting.sort((a, b) -> Boolean.compare(a.spec().spotAllowed(), b.spec().spotAllowed()));
+    // Cheap machines serve first, and among equals the busy ones: what is left over is best returned.
+    rooms.sort(Comparator.comparing((Room r) -> !r.machine.spot).thenComparing(r -> r.machine.attempts.isEmpty()));
     Map<Offer, Double> wanted = new LinkedHashMap<>();
-    Map<String, Double> headroom = new HashMap<>();
-    for (Job job : waiting) {
-      JobSpec spec = job.spec();
-      double left = headroom.computeIfAbsent(spec.team(), teams::headroom);
-      int tasks = Math.min(job.waiting(), (int) Math.min(Integer.MAX_VALUE, left / Math.max(spec.cpus(), 1e-3)))
-          + queued(job);
-      headroom.put(spec.team(), left - tasks * spec.cpus());
+    for (Demand.Wish wish : demand.measure(now)) {
+      double tasks = wish.tasks();
       for (Room room : rooms) {
-        tasks -= room.take(spec, tasks);
+        tasks -= room.take(wish.spec(), tasks);
       }
-      Offer offer = tasks > 0 ? choose(spec) : null;
+      Offer offer = tasks > 1e-3 ? choose(wish.spec()) : null;
       if (offer != null) {
-        // Short tasks that wait are soon served by what is there.
-        double urgency = Math.min(1, Math.max(0.3, spec.estimateMicros() / QUICK_TASK_MICROS));
-        wanted.merge(offer, tasks * share(spec, type(offer.type())) * urgency, Double::sum);
+        wanted.merge(offer, tasks * share(wish.spec(), type(offer.type())), Double::sum);
       }
     }
-    wanted.forEach((offer, machines) ->
-        rent(offer, Math.min(settings.tuning().rentBatch(), (int) Math.ceil(machines))));
-  }
-
-  /** What part of a machine one task takes. */
-  private static double share(JobSpec spec, MachineType type) {
-    double share = Math.max(spec.cpus() / type.cpus(), spec.memoryGb() / type.memoryGb());
-    return type.accelerators() > 0 ? Math.max(share, spec.accelerators() / type.accelerators()) : share;
-  }
-
-  private static int queued(Job job) {
-    int queued = 0;
-    for (Attempt a : job.active.values()) {
-      queued += a.phase == Attempt.Phase.QUEUED ? 1 : 0;
+    if (rentalsInFlight == 0) {
+      wanted.forEach((offer, machines) -> rent(offer, Math.min(settings.tuning().rentBatch(), (int) Math.ceil(machines - 0.1))));
+    }
+    for (Room room : rooms) {
+      if (room.left > 0.999 && isIdle(room.machine)) {
+        returnNow(room.machine, "idle");
+      }
     }
-    return queued;
   }
 
   private MachineType type(String name) {
--- a/src/main/java/org/eiderstair/core/Scheduler.java
+++ b/src/main/java/org/eiderstair/core/Scheduler.java
@@ -63,7 +63,7 @@
       fleet.takeOver(now);
     }
     fleet.tick(now);
-    renting.tick(now, placement);
+    renting.tick(now);
     if (leadership.mayCommand(now) && (fleet.changed || replica.open.values().stream()
         .anyMatch(j -> j.notBeforeMicros > 0 && j.waiting() > 0 && now >= j.notBeforeMicros))) {
       fleet.changed = false;
--- a/src/main/java/org/eiderstair/core/TokenList.java
+++ b/src/main/java/org/eiderstair/core/TokenList.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.function.IntUnaryOperator;
 import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
 
 /**
  * The bounded list of machines that reported free room: the dispatcher's memory of the paper's section 3.1.
@@ -32,14 +33,23 @@
     return tokens.size();
   }
 
-  /** A uniformly random listed machine that passes; null when none does. */
-  Machine draw(Predicate<Machine> fitting, IntUnaryOperator random) {
-    List<Machine> candidates = new ArrayList<>();
+  /** A uniformly random machine among those that pass and are liked best; null when none passes. */
+  Machine draw(Predicate<Machine> fitting, ToIntFunction<Machine> liking, IntUnaryOperator random) {
+    List<Machine> best = new ArrayList<>();
+    int bestLiking = Integer.MIN_VALUE;
     for (Machine m : tokens) {
-      if (fitting.test(m)) {
-        candidates.add(m);
+      if (!fitting.test(m)) {
+        continue;
+      }
+      int liked = liking.applyAsInt(m);
+      if (liked > bestLiking) {
+        best.clear();
+        bestLiking = liked;
+      }
+      if (liked == bestLiking) {
+        best.add(m);
       }
     }
-    return candidates.isEmpty() ? null : candidates.get(random.applyAsInt(candidates.size()));
+    return best.isEmpty() ? null : best.get(random.applyAsInt(best.size()));
   }
 }
