Peer link in Avro: followers relay for workers that cannot reach the leader

Also: a job that fails on one machine only gets growing pauses and costs that machine at most once (found by the simulator: a task tried on its only machine without a pause); one-zone jobs may return to a machine that failed them.

--- a/src/main/java/org/eiderstair/core/Core.java
+++ b/src/main/java/org/eiderstair/core/Core.java
@@ -14,6 +14,7 @@
   private final Replica replica;
   private final Desk desk;
   private final Leadership leadership;
+  private final Relay relay;
   private Scheduler scheduler;
   private long now;
 
@@ -27,6 +28,7 @@
     this.ports = new Ports(effects);
     this.replica = new Replica(ports, this);
     this.desk = new Desk(settings, ports, replica);
+    this.relay = new Relay(ports);
     this.leadership = new Leadership(settings, ports, replica, incarnation, this);
   }
 
@@ -36,7 +38,7 @@
     if (event instanceof Event.Replied replied) {
       ports.replied(replied.call(), replied.reply());
     } else if (event instanceof Event.Reported reported) {
-      ports.respond(reported.exchange(), reported(reported));
+      reported(reported);
     } else if (event instanceof Event.Poll poll) {
       desk.poll(poll.exchange(), poll.id());
     } else if (event instanceof Event.Submit submit) {
@@ -58,13 +60,18 @@
     }
   }
 
-  private Answer reported(Event.Reported event) {
+  private void reported(Event.Reported event) {
     if (scheduler != null && leadership.inOffice()) {
-      return scheduler.reported(event.report(), now);
+      ports.respond(event.exchange(), scheduler.reported(event.report(), now));
+      return;
     }
     Replica.Leader leader = replica.leader();
     boolean elsewhere = leader != null && !leader.node().equals(settings.node());
-    return new Answer.Redirect(elsewhere ? leader.node() : null);
+    if (event.relayed()) {
+      ports.respond(event.exchange(), new Answer.Redirect(null));
+    } else {
+      relay.reported(event.exchange(), event.report(), elsewhere ? leader.node() : null, now);
+    }
   }
 
   public boolean leads() {
--- a/src/main/java/org/eiderstair/core/Fleet.java
+++ b/src/main/java/org/eiderstair/core/Fleet.java
@@ -15,6 +15,7 @@
 final class Fleet {
   private static final long ASK_AGAIN_MICROS = 1_500_000;
   private static final long LEASE_MARGIN_MICROS = 1_500_000;
+  private static final long UNREACHED_MICROS = 6_000_000;
   private static final long FAILURE_PAUSE_MICROS = 1_000_000;
   private static final long LONGEST_PAUSE_MICROS = 60_000_000;
 
@@ -264,6 +265,7 @@
       if (!job.done.get(task.index())) {
         job.done.set(task.index());
         job.failedOn.clear();
+        job.failedRounds = 0;
         m.errorsInRow = 0;
         m.failedJobs.clear();
         boolean all = job.spec().shape() == JobSpec.Shape.ARRAY && job.done.cardinality() == job.tasks();
@@ -297,16 +299,20 @@
   /** Tells a machine that fails everything from a job that fails everywhere. */
   private void failed(Machine m, Job job, TaskId task) {
     ports.info("task " + task + " failed on " + m.id + ", term=" + term);
-    job.failedOn.add(m.id);
-    if (job.failedOn.size() > 1) {
-      long pause = FAILURE_PAUSE_MICROS << Math.min(job.failedOn.size(), 6);
+    boolean again = !job.failedOn.add(m.id);
+    if ((again || job.failedOn.size() > 1) && now >= job.notBeforeMicros) {
+      job.failedRounds++;
+      long pause = FAILURE_PAUSE_MICROS << Math.min(job.failedRounds, 6);
       job.notBeforeMicros = now + Math.min(LONGEST_PAUSE_MICROS, pause);
     }
     m.errorsInRow++;
     if (!job.done.isEmpty() || job.failedOn.size() == 1) {
       m.failedJobs.add(job.id);
     }
-    if (m.failedJobs.size() >= 2 && m.errorsInRow >= 3 && m.plan == Machine.Plan.USE) {
+    // A job with a mistake fails wherever it goes: it alone may cost one machine, never one after another.
+    boolean faulty = m.failedJobs.size() >= 2 && m.errorsInRow >= 3
+        || job.failedOn.size() == 1 && m.errorsInRow >= 6;
+    if (faulty && m.plan == Machine.Plan.USE) {
       ports.info("machine " + m.id + " fails the tasks of " + m.failedJobs.size() + " jobs: draining, term=" + term);
       drain(m);
     }
@@ -495,6 +501,8 @@
         m.become(Machine.Phase.FENCING);
         tokens.remove(m);
         m.nextAskMicros = now + 500_000;
+        // It may be out of this node's reach while its reports still come, relayed: no more launches for a while.
+        m.holdUntilMicros = now + UNREACHED_MICROS;
       }
       m.killsPending |= !orders.isEmpty() && !launched;
       m.nextAskMicros = Math.max(m.nextAskMicros, now + 300_000);
--- a/src/main/java/org/eiderstair/core/Job.java
+++ b/src/main/java/org/eiderstair/core/Job.java
@@ -39,6 +39,7 @@
   long seenMicros;
   /** Machines on which a task failed since the last success; each one more makes the next pause longer. */
   final Set<String> failedOn = new HashSet<>();
+  int failedRounds;
   long notBeforeMicros;
   private int firstFree;
 
@@ -122,6 +123,7 @@
     firstFree = 0;
     progressDirty = false;
     failedOn.clear();
+    failedRounds = 0;
     notBeforeMicros = 0;
   }
 
--- a/src/main/java/org/eiderstair/core/Placement.java
+++ b/src/main/java/org/eiderstair/core/Placement.java
@@ -109,15 +109,15 @@
         return;
       }
       Predicate<Machine> allowed = allowed(job, perZone, nowMicros);
-      Machine m = draw(job, allowed);
+      Predicate<Machine> good = allowed.and(m -> !job.failedOn.contains(m.id));
+      Machine m = draw(job, good);
       if (m == null && !job.failedOn.isEmpty()) {
         // Every machine that is left has failed this job: rather one of those than never.
-        m = tokens.draw(x -> x.usable(nowMicros) && x.allows(spec) && x.fits(spec) && !spec.oneZone()
-            && !spec.spread(), x -> 0, random);
+        m = draw(job, allowed);
       }
       Attempt.Phase phase = Attempt.Phase.PLANNED;
       if (m == null) {
-        m = shortQueue(allowed);
+        m = shortQueue(good);
         phase = Attempt.Phase.QUEUED;
       }
       if (m == null) {
@@ -135,7 +135,7 @@
         continue;
       }
       perZone.merge(a.machine.zone, -1, Integer::sum);
-      Machine m = draw(job, allowed(job, perZone, nowMicros));
+      Machine m = draw(job, allowed(job, perZone, nowMicros).and(x -> !job.failedOn.contains(x.id)));
       if (m == null) {
         perZone.merge(a.machine.zone, 1, Integer::sum);
         return;
@@ -149,7 +149,7 @@
   private Predicate<Machine> allowed(Job job, Map<String, Integer> perZone, long nowMicros) {
     JobSpec spec = job.spec();
     String only = spec.oneZone() ? chosenZone(job, perZone, nowMicros) : null;
-    return m -> m.usable(nowMicros) && m.allows(spec) && !job.failedOn.contains(m.id)
+    return m -> m.usable(nowMicros) && m.allows(spec)
         && (only == null || only.equals(m.zone))
         && (!spec.spread() || perZone.getOrDefault(m.zone, 0) < spec.mostPerZone());
   }
--- a/src/main/java/org/eiderstair/http/Inbound.java
+++ b/src/main/java/org/eiderstair/http/Inbound.java
@@ -17,6 +17,7 @@
 import org.eiderstair.core.Event;
 import org.eiderstair.core.JobSpec;
 import org.eiderstair.core.MachineReport;
+import org.eiderstair.peer.PeerMessages;
 import org.eiderstair.protocol.Malformed;
 import org.eiderstair.protocol.Pack;
 import org.eiderstair.protocol.UserMessages;
@@ -25,16 +26,23 @@
 /** Serves users, workers and health checks: turns requests into events, and the core's answers into responses. */
 public final class Inbound extends Handler.Abstract.NonBlocking {
   private static final HttpField TYPE = new PreEncodedHttpField(HttpHeader.CONTENT_TYPE, "application/msgpack");
+  /** The name of the connector that other controllers use. */
+  public static final String PEER = "peer";
+
   private static final String WORK = "/work";
   private static final String CANCEL = "/cancel";
 
-  private record Exchange(Response response, Callback callback) {}
+  private record Exchange(Response response, Callback callback, boolean ofPeer) {}
 
   /** What to do with a body once it has been read. */
   private interface BodyUse {
     void accept(long exchange, Map<String, Object> message) throws Malformed;
   }
 
+  private interface BytesUse {
+    void accept(byte[] bytes) throws Malformed;
+  }
+
   private final Consumer<Event> events;
   private final AtomicLong lastExchange = new AtomicLong();
   private final Map<Long, Exchange> open = new ConcurrentHashMap<>();
@@ -47,7 +55,12 @@
   public boolean handle(Request request, Response response, Callback callback) {
     String path = Request.getPathInContext(request);
     String method = request.getMethod();
-    Exchange exchange = new Exchange(response, callback);
+    boolean ofPeer = PEER.equals(request.getConnectionMetaData().getConnector().getName());
+    Exchange exchange = new Exchange(response, callback, ofPeer);
+    if (ofPeer) {
+      peer(exchange, request, path, method);
+      return true;
+    }
     switch (path) {
       case "/ready" -> with(exchange, method, "GET", id -> events.accept(new Event.ReadyProbe(id)));
       case "/agent/beat" -> with(exchange, method, "POST", id -> body(id, request, this::report));
@@ -57,6 +70,16 @@
     return true;
   }
 
+  /** Only relays come over the peer link, and they come in Avro. */
+  private void peer(Exchange exchange, Request request, String path, String method) {
+    if (!path.equals(PeerMessages.RELAY_PATH)) {
+      fail(exchange, 404, "no such path");
+      return;
+    }
+    with(exchange, method, "POST", id -> bytes(id, request, PeerMessages.MOST_BYTES,
+        bytes -> events.accept(new Event.Reported(id, PeerMessages.report(bytes), true))));
+  }
+
   private void job(Exchange exchange, String path, String method) {
     if (!path.startsWith(WORK + "/")) {
       fail(exchange, 404, "no such path");
@@ -86,17 +109,21 @@
   }
 
   private void body(long id, Request request, BodyUse use) {
-    if (request.getLength() > UserMessages.MOST_BYTES) {
+    bytes(id, request, UserMessages.MOST_BYTES, bytes -> use.accept(id, Pack.readMap(bytes)));
+  }
+
+  private void bytes(long id, Request request, int most, BytesUse use) {
+    if (request.getLength() > most) {
       tooLong(id);
       return;
     }
-    Content.Source.asByteArrayAsync(request, UserMessages.MOST_BYTES).whenComplete((bytes, failure) -> {
+    Content.Source.asByteArrayAsync(request, most).whenComplete((bytes, failure) -> {
       if (failure != null) {
         tooLong(id);
         return;
       }
       try {
-        use.accept(id, Pack.readMap(bytes));
+        use.accept(bytes);
       } catch (Malformed e) {
         respond(id, new Answer.Failure(400, e.getMessage(), 0));
       }
@@ -135,7 +162,9 @@
     if (exchange == null) {
       return;
     }
-    if (answer instanceof Answer.JobView view) {
+    if (exchange.ofPeer()) {
+      write(exchange, 200, PeerMessages.answer(answer));
+    } else if (answer instanceof Answer.JobView view) {
       write(exchange, view.status(), UserMessages.view(view));
     } else if (answer instanceof Answer.Command command) {
       write(exchange, 200, WorkerMessages.orders(command.token(), command.orders()));
--- a/src/main/java/org/eiderstair/http/Outbound.java
+++ b/src/main/java/org/eiderstair/http/Outbound.java
@@ -2,10 +2,12 @@
 
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
@@ -19,6 +21,7 @@
 import org.eclipse.jetty.util.thread.Scheduler;
 import org.eiderstair.core.Reply;
 import org.eiderstair.core.Request;
+import org.eiderstair.peer.PeerMessages;
 import org.eiderstair.protocol.CloudMessages;
 import org.eiderstair.protocol.Malformed;
 import org.eiderstair.protocol.Pack;
@@ -34,6 +37,7 @@
   private static final long STORE_MICROS = 2_000_000;
   private static final long CLOUD_MICROS = 5_000_000;
   private static final long WORKER_MICROS = 2_500_000;
+  private static final long PEER_MICROS = 2_500_000;
 
   /** How a 200 (or a 409) is read. */
   private interface Reader {
@@ -58,13 +62,15 @@
   private final HttpClient client;
   private final Target state;
   private final Target cloud;
+  private final Map<String, Target> peers = new HashMap<>();
   private final BiConsumer<Long, Reply> replies;
 
-  public Outbound(String stateAddress, String cloudAddress, Executor executor, Scheduler scheduler,
+  public Outbound(String stateAddress, String cloudAddress, Map<String, String> peerAddresses, Executor executor, Scheduler scheduler,
       ArrayByteBufferPool buffers, BiConsumer<Long, Reply> replies) throws Exception {
     this.state = Target.of(stateAddress);
     this.cloud = Target.of(cloudAddress);
     this.replies = replies;
+    peerAddresses.forEach((name, address) -> peers.put(name, Target.of(address)));
     ClientConnector connector = new ClientConnector();
     connector.setSelectors(1);
     connector.setExecutor(executor);
@@ -138,17 +144,49 @@
           WorkerMessages.command(c.token(), c.session(), c.orders()), WORKER_MICROS,
           m -> new Reply.Report(WorkerMessages.report(m), true),
           m -> new Reply.Report(WorkerMessages.report(m), false));
+    } else if (request instanceof Request.PeerRelay relay) {
+      relay(call, relay);
     } else {
       throw new IllegalArgumentException("no way to send " + request);
     }
   }
 
+  private void relay(long call, Request.PeerRelay relay) {
+    Target target = peers.get(relay.peer());
+    if (target == null) {
+      replies.accept(call, new Reply.Lost("unknown node " + relay.peer()));
+      return;
+    }
+    send(target, HttpMethod.POST, PeerMessages.RELAY_PATH, PeerMessages.report(relay.report()), PEER_MICROS,
+        (status, content) -> {
+          try {
+            replies.accept(call, status == 200 ? new Reply.Relayed(PeerMessages.answer(content))
+                : new Reply.Refused(status));
+          } catch (Malformed e) {
+            LOG.error("unreadable answer of {}: {}", relay.peer(), e.getMessage());
+            replies.accept(call, new Reply.Lost(e.getMessage()));
+          }
+        }, why -> replies.accept(call, new Reply.Lost(why)));
+  }
+
   private static String encode(String text) {
     return URLEncoder.encode(text, StandardCharsets.UTF_8);
   }
 
   private void exchange(long call, Target target, HttpMethod method, String path, byte[] body, long timeoutMicros,
       Reader ok, Reader conflict) {
+    send(target, method, path, body, timeoutMicros,
+        (status, content) -> replies.accept(call, read(status, content, path, ok, conflict)),
+        why -> replies.accept(call, new Reply.Lost(why)));
+  }
+
+  /** What to do with a complete response. */
+  private interface Completion {
+    void accept(int status, byte[] content);
+  }
+
+  private void send(Target target, HttpMethod method, String path, byte[] body, long timeoutMicros,
+      Completion completed, Consumer<String> failed) {
     var request = client.newRequest(target.host(), target.port()).method(method).path(path)
         .timeout(timeoutMicros, TimeUnit.MICROSECONDS);
     if (body != null) {
@@ -157,13 +195,11 @@
     request.send(new BufferingResponseListener(MOST_BYTES) {
       @Override
       public void onComplete(Result result) {
-        Reply reply;
         if (result.isFailed()) {
-          reply = new Reply.Lost(String.valueOf(result.getFailure()));
+          failed.accept(String.valueOf(result.getFailure()));
         } else {
-          reply = read(result.getResponse().getStatus(), getContent(), path, ok, conflict);
+          completed.accept(result.getResponse().getStatus(), getContent());
         }
-        replies.accept(call, reply);
       }
     });
   }
--- a/src/main/java/org/eiderstair/node/Node.java
+++ b/src/main/java/org/eiderstair/node/Node.java
@@ -18,6 +18,7 @@
 /** A running controller: the core with sockets and timers round it. */
 public final class Node implements AutoCloseable {
   private static final int THREADS = 8;
+  private static final long IDLE_MS = 120_000;
 
   private final Server server;
   private final Outbound outbound;
@@ -40,17 +41,14 @@
     http.setOutputBufferSize(4096);
     http.setRequestHeaderSize(4096);
     http.setIdleTimeout(0);
-    connector = new ServerConnector(server, null, scheduler, buffers, 0, 1, new HttpConnectionFactory(http));
-    connector.setHost(config.bindHost());
-    connector.setPort(config.bindPort());
-    connector.setIdleTimeout(120_000);
-    connector.setAcceptQueueSize(256);
-    server.addConnector(connector);
+    connector = connector(http, scheduler, buffers, config.bindHost(), config.bindPort());
+    ServerConnector peers = connector(http, scheduler, buffers, config.peerHost(), config.peerPort());
+    peers.setName(Inbound.PEER);
     Inbound inbound = new Inbound(loop::offer);
     server.setHandler(inbound);
     server.start();
 
-    outbound = new Outbound(config.stateAddress(), config.cloudAddress(), threads, scheduler, buffers,
+    outbound = new Outbound(config.stateAddress(), config.cloudAddress(), config.peerAddresses(), threads, scheduler, buffers,
         (call, reply) -> loop.offer(new Event.Replied(call, reply)));
     // Runs of one node differ in their time or their process; nothing here needs to be hard to guess.
     long time = System.currentTimeMillis();
@@ -69,6 +67,17 @@
     coreThread.start();
   }
 
+  private ServerConnector connector(HttpConfiguration http, ScheduledExecutorScheduler scheduler,
+      ArrayByteBufferPool buffers, String host, int port) {
+    ServerConnector made = new ServerConnector(server, null, scheduler, buffers, 0, 1, new HttpConnectionFactory(http));
+    made.setHost(host);
+    made.setPort(port);
+    made.setIdleTimeout(IDLE_MS);
+    made.setAcceptQueueSize(256);
+    server.addConnector(made);
+    return made;
+  }
+
   /** The port that users and workers reach, when the settings left the choice to the system. */
   public int port() {
     return connector.getLocalPort();
--- /dev/null
+++ b/src/main/java/org/eiderstair/peer/PeerMessages.java
@@ -0,0 +1,111 @@
+package org.eiderstair.peer;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.avro.AvroRuntimeException;
+import org.eiderstair.core.Answer;
+import org.eiderstair.core.MachineReport;
+import org.eiderstair.core.Order;
+import org.eiderstair.core.TaskId;
+import org.eiderstair.peer.wire.RelayedAnswer;
+import org.eiderstair.peer.wire.RelayedExit;
+import org.eiderstair.peer.wire.RelayedOrder;
+import org.eiderstair.peer.wire.RelayedReport;
+import org.eiderstair.peer.wire.RelayedState;
+import org.eiderstair.peer.wire.RelayedTask;
+import org.eiderstair.peer.wire.RelayedVerb;
+import org.eiderstair.protocol.Malformed;
+
+/**
+ * What controllers send each other, in Avro's single-object encoding: every message names its schema, so nodes of
+ * two versions understand each other or know that they do not.
+ */
+public final class PeerMessages {
+  public static final String RELAY_PATH = "/peer/relay";
+  public static final int MOST_BYTES = 128 * 1024;
+
+  private PeerMessages() {}
+
+  public static byte[] report(MachineReport r) {
+    List<RelayedTask> tasks = new ArrayList<>(r.tasks().size());
+    for (MachineReport.Entry e : r.tasks()) {
+      tasks.add(new RelayedTask(e.task().job(), e.task().index(), e.attempt(), RelayedState.valueOf(e.state().name()),
+          RelayedExit.valueOf(e.exit().name()), e.saved()));
+    }
+    try {
+      return bytes(RelayedReport.getEncoder().encode(new RelayedReport(r.machine(), r.address(), r.type(), r.zone(),
+          r.spot(), r.session(), r.sequence(), r.token(), r.noticeMicros(), tasks)));
+    } catch (IOException e) {
+      throw new IllegalStateException("encoding to memory failed", e);
+    }
+  }
+
+  public static MachineReport report(byte[] bytes) throws Malformed {
+    try {
+      RelayedReport r = RelayedReport.getDecoder().decode(bytes);
+      List<MachineReport.Entry> tasks = new ArrayList<>(r.getTasks().size());
+      for (RelayedTask t : r.getTasks()) {
+        tasks.add(new MachineReport.Entry(new TaskId(t.getJob(), t.getIndex()), t.getAttempt(),
+            MachineReport.TaskState.valueOf(t.getState().name()), MachineReport.Exit.valueOf(t.getExit().name()),
+            t.getSaved()));
+      }
+      return new MachineReport(r.getMachine(), r.getAddress(), r.getType(), r.getZone(), r.getSpot(), r.getSession(),
+          r.getSequence(), r.getToken(), r.getNoticeMicros(), tasks);
+    } catch (IOException | AvroRuntimeException | IndexOutOfBoundsException e) {
+      throw new Malformed("not a relayed report: " + e.getMessage());
+    }
+  }
+
+  public static byte[] answer(Answer answer) {
+    RelayedAnswer a = new RelayedAnswer(503, 0L, List.of(), null, "");
+    if (answer instanceof Answer.Command command) {
+      List<RelayedOrder> orders = new ArrayList<>(command.orders().size());
+      for (Order o : command.orders()) {
+        RelayedVerb verb = o instanceof Order.Launch ? RelayedVerb.LAUNCH
+            : o instanceof Order.Kill ? RelayedVerb.KILL : RelayedVerb.REAP;
+        long grace = o instanceof Order.Kill kill ? kill.graceMicros() : 0;
+        orders.add(new RelayedOrder(verb, o.task().job(), o.task().index(), o.attempt(), grace));
+      }
+      a = new RelayedAnswer(200, command.token(), orders, null, "");
+    } else if (answer instanceof Answer.Redirect redirect) {
+      a = new RelayedAnswer(421, 0L, List.of(), redirect.node(), "");
+    } else if (answer instanceof Answer.Failure failure) {
+      a = new RelayedAnswer(failure.status(), 0L, List.of(), null, failure.reason());
+    }
+    try {
+      return bytes(RelayedAnswer.getEncoder().encode(a));
+    } catch (IOException e) {
+      throw new IllegalStateException("encoding to memory failed", e);
+    }
+  }
+
+  public static Answer answer(byte[] bytes) throws Malformed {
+    try {
+      RelayedAnswer a = RelayedAnswer.getDecoder().decode(bytes);
+      if (a.getStatus() == 200) {
+        List<Order> orders = new ArrayList<>(a.getOrders().size());
+        for (RelayedOrder o : a.getOrders()) {
+          TaskId task = new TaskId(o.getJob(), o.getIndex());
+          orders.add(switch (o.getVerb()) {
+            case LAUNCH -> new Order.Launch(task, o.getAttempt());
+            case KILL -> new Order.Kill(task, o.getAttempt(), o.getGraceMicros());
+            case REAP -> new Order.Reap(task, o.getAttempt());
+          });
+        }
+        return new Answer.Command(a.getToken(), orders);
+      }
+      return a.getStatus() == 421 ? new Answer.Redirect(a.getNode())
+          : new Answer.Failure(a.getStatus(), a.getReason(), 0);
+    } catch (IOException | AvroRuntimeException | IndexOutOfBoundsException e) {
+      throw new Malformed("not a relayed answer: " + e.getMessage());
+    }
+  }
+
+  private static byte[] bytes(ByteBuffer buffer) {
+    byte[] bytes = new byte[buffer.remaining()];
+    buffer.get(bytes);
+    return bytes;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/eiderstair/protocol/PeerMessagesTest.java
@@ -0,0 +1,43 @@
+package org.eiderstair.protocol;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.eiderstair.core.Answer;
+import org.eiderstair.core.MachineReport;
+import org.eiderstair.core.Order;
+import org.eiderstair.core.TaskId;
+import org.eiderstair.peer.PeerMessages;
+
+class PeerMessagesTest {
+  @Property(tries = 200, seed = "4")
+  void relayedReportsReadBackAsWritten(@ForAll long session, @ForAll long token, @ForAll int index,
+      @ForAll MachineReport.TaskState state, @ForAll MachineReport.Exit exit, @ForAll boolean spot) throws Malformed {
+    MachineReport report = new MachineReport("i-1", "10.0.0.1:1", "t", "z", spot, session, 7, token, -1,
+        List.of(new MachineReport.Entry(new TaskId("job-000001", index), token, state, exit, !spot)));
+    assertEquals(report, PeerMessages.report(PeerMessages.report(report)));
+  }
+
+  @Example
+  void relayedAnswersReadBackAsWritten() throws Malformed {
+    TaskId task = new TaskId("job-000001", 3);
+    List<Answer> answers = List.of(new Answer.Command(1L << 40, List.of(new Order.Launch(task, 2),
+        new Order.Kill(task, 3, 5_000_000), new Order.Reap(task, 4))), new Answer.Redirect("n1"),
+        new Answer.Redirect(null), new Answer.Failure(503, "taking over", 0));
+    for (Answer answer : answers) {
+      assertEquals(answer, PeerMessages.answer(PeerMessages.answer(answer)));
+    }
+  }
+
+  @Property(tries = 500, seed = "5")
+  void anyBytesAreReadOrRefused(@ForAll byte[] bytes) {
+    try {
+      PeerMessages.report(bytes);
+    } catch (Malformed expected) {
+      // Nothing else may come out of here, whatever arrives.
+    }
+  }
+}
--- a/src/test/java/org/eiderstair/sim/StateService.java
+++ b/src/test/java/org/eiderstair/sim/StateService.java
@@ -60,6 +60,7 @@
     if (!keys.isEmpty()) {
       revision++;
       keys.forEach(this::drop);
+      notifyWatches();
     }
   }
 
