--- a/src/main/java/org/eiderstair/core/Demand.java
+++ b/src/main/java/org/eiderstair/core/Demand.java
@@ -12,9 +12,9 @@
  * the highest recent demand is held for a while, since a new machine takes a while to come.
  */
 final class Demand {
-  private static final double HOLD_MICROS = 45e6;
+  private static final double HOLD_MICROS = 90e6;
   /** Estimates are often too low and room is not always where it is needed: plan to be ready early. */
-  private static final double EARLY = 0.85;
+  private static final double EARLY = 0.7;
   private static final double NO_AIM_FACTOR = 4;
   private static final long NO_AIM_MICROS = 60_000_000;
 
@@ -81,19 +81,10 @@
       double left = runs ? estimate - (nowMicros - a.runningSinceMicros) : estimate;
       work += Math.max(left, estimate / 5);
     }
-    // What must be done before a new machine could be up is the business of those that are there.
-    double window = Math.max((job.seenMicros + allowed(spec) - nowMicros) * EARLY, Math.max(estimate, bootMicros()));
+    double window = Math.max((job.seenMicros + allowed(spec) - nowMicros) * EARLY, estimate);
     return Math.min(job.unfinished(), work / window);
   }
 
-  private double bootMicros() {
-    double shortest = Double.MAX_VALUE;
-    for (MachineType type : replica.catalog()) {
-      shortest = Math.min(shortest, type.bootMicros());
-    }
-    return replica.catalog().isEmpty() ? 0 : shortest;
-  }
-
   /** How long after its submission a job should be complete. */
   private double allowed(JobSpec spec) {
     double allowed = Double.MAX_VALUE;
