--- a/src/main/java/org/eiderstair/core/Demand.java
+++ b/src/main/java/org/eiderstair/core/Demand.java
@@ -69,6 +69,13 @@
     return wishes;
   }
 
+  /** What each class lately wanted at once, for its team to keep from less urgent work. */
+  void reserve(Teams teams) {
+    for (Held held : classes.values()) {
+      teams.reserve(held.spec.team(), held.spec.priority(), held.peak * held.spec.cpus());
+    }
+  }
+
   private double atOnce(Job job, long nowMicros) {
     JobSpec spec = job.spec();
     double estimate = Math.max(spec.estimateMicros(), 1e6);
--- a/src/main/java/org/eiderstair/core/Placement.java
+++ b/src/main/java/org/eiderstair/core/Placement.java
@@ -20,11 +20,13 @@
   private final Fleet fleet;
   private final TokenList tokens;
   private final long term;
+  private final Demand demand;
   private final IntUnaryOperator random;
   private Teams teams;
 
   Placement(Settings settings, Ports ports, Replica replica, Fleet fleet, TokenList tokens, long term,
-      IntUnaryOperator random) {
+      Demand demand, IntUnaryOperator random) {
+    this.demand = demand;
     this.settings = settings;
     this.ports = ports;
     this.replica = replica;
@@ -74,6 +76,7 @@
 
   void place(long nowMicros) {
     teams = measure();
+    demand.reserve(teams);
     List<Job> jobs = order(nowMicros, teams);
     JobSpec.Priority highest = jobs.isEmpty() ? JobSpec.Priority.LOW : jobs.get(0).spec().priority();
     serveQueues(highest, nowMicros);
@@ -105,7 +108,7 @@
     Map<String, Integer> perZone = zonesOf(job);
     leaveQueues(job, perZone, nowMicros);
     for (int index = job.nextFree(0); index >= 0; index = job.nextFree(index + 1)) {
-      if (job.active.size() >= most || !teams.allowsOneMore(spec)) {
+      if (job.active.size() >= most || !teams.allowsOneMore(spec) || !teams.leavesReserve(spec)) {
         return;
       }
       Predicate<Machine> allowed = allowed(job, perZone, nowMicros);
--- a/src/main/java/org/eiderstair/core/Relay.java
+++ b/src/main/java/org/eiderstair/core/Relay.java
@@ -11,6 +11,7 @@
 final class Relay {
   private static final long BACK_SOON_MICROS = 12_000_000;
   private static final long RELAY_MICROS = 20_000_000;
+  private static final long UNREACHED_MICROS = 2_000_000;
   private static final long FORGET_MICROS = 120_000_000;
 
   /** REDIRECTED was sent to the leader; RELAYED is passed on until its time is over. */
@@ -19,6 +20,7 @@
   private record Visitor(State state, String leader, long sinceMicros) {}
 
   private final Ports ports;
+  private long unreachedUntilMicros;
   private final Map<String, Visitor> visitors = new HashMap<>();
 
   Relay(Ports ports) {
@@ -39,8 +41,19 @@
       ports.respond(exchange, new Answer.Redirect(leader));
       return;
     }
-    ports.call(new Request.PeerRelay(leader, report), reply -> ports.respond(exchange,
-        reply instanceof Reply.Relayed relayed ? relayed.answer() : new Answer.Redirect(null)));
+    if (nowMicros < unreachedUntilMicros) {
+      ports.respond(exchange, new Answer.Redirect(null));
+      return;
+    }
+    ports.call(new Request.PeerRelay(leader, report), reply -> {
+      if (reply instanceof Reply.Relayed relayed) {
+        ports.respond(exchange, relayed.answer());
+        return;
+      }
+      // When the leader has crashed, every worker comes here: one try tells, the rest would only cost time.
+      unreachedUntilMicros = nowMicros + UNREACHED_MICROS;
+      ports.respond(exchange, new Answer.Redirect(null));
+    });
   }
 
   private Visitor next(String machine, String leader, long nowMicros) {
@@ -50,7 +63,7 @@
       return last;
     }
     if (same && last.state() == State.REDIRECTED && nowMicros < last.sinceMicros() + BACK_SOON_MICROS) {
-      ports.info("machine " + machine + " is back soon from " + leader + ": relaying its reports");
+      ports.debug("machine " + machine + " is back soon from " + leader + ": relaying its reports");
       return new Visitor(State.RELAYED, leader, nowMicros);
     }
     return new Visitor(State.REDIRECTED, leader, nowMicros);
--- a/src/main/java/org/eiderstair/core/Renting.java
+++ b/src/main/java/org/eiderstair/core/Renting.java
@@ -45,14 +45,15 @@
   private final Map<Offer, Long> refusedUntil = new HashMap<>();
   private final Set<String> toDelete = new LinkedHashSet<>();
 
-  Renting(Settings settings, Ports ports, Replica replica, Fleet fleet, Leadership leadership, long term) {
+  Renting(Settings settings, Ports ports, Replica replica, Fleet fleet, Leadership leadership, Demand demand,
+      long term) {
     this.settings = settings;
     this.ports = ports;
     this.replica = replica;
     this.fleet = fleet;
     this.leadership = leadership;
     this.term = term;
-    this.demand = new Demand(settings, replica);
+    this.demand = demand;
     this.calls = new RateBudget(settings.cloudRps() * 0.7);
   }
 
--- a/src/main/java/org/eiderstair/core/Scheduler.java
+++ b/src/main/java/org/eiderstair/core/Scheduler.java
@@ -23,8 +23,9 @@
     this.ledger = new Ledger(settings, ports, replica, term, this);
     this.tokens = new TokenList(settings.tuning().tokenListSize());
     this.fleet = new Fleet(settings, ports, replica, leadership, ledger, tokens, term);
-    this.placement = new Placement(settings, ports, replica, fleet, tokens, term, random);
-    this.renting = new Renting(settings, ports, replica, fleet, leadership, term);
+    Demand demand = new Demand(settings, replica);
+    this.placement = new Placement(settings, ports, replica, fleet, tokens, term, demand, random);
+    this.renting = new Renting(settings, ports, replica, fleet, leadership, demand, term);
   }
 
   void close() {
--- a/src/main/java/org/eiderstair/core/Teams.java
+++ b/src/main/java/org/eiderstair/core/Teams.java
@@ -1,17 +1,22 @@
 package org.eiderstair.core;
 
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Map;
 
 /** What each team uses, counting everything that may run, against its limit and its guarantee. */
 final class Teams {
   private static final double ROUNDING = 1e-6;
+  private static final double MOST_RESERVED = 0.5;
 
   private static final class Use {
     double cpus;
     double accelerators;
+    final Map<JobSpec.Priority, Double> byPriority = new EnumMap<>(JobSpec.Priority.class);
   }
 
+  private final Map<String, Map<JobSpec.Priority, Double>> reserves = new HashMap<>();
+
   private final Settings settings;
   private final Map<String, Use> uses = new HashMap<>();
   /** What machines that this term has not heard could be running, for any team. */
@@ -26,6 +31,7 @@
     Use use = uses.computeIfAbsent(spec.team(), t -> new Use());
     use.cpus += spec.cpus() * tasks;
     use.accelerators += spec.accelerators() * tasks;
+    use.byPriority.merge(spec.priority(), spec.cpus() * tasks, Double::sum);
   }
 
   void unheard(double cpus, double accelerators) {
@@ -46,6 +52,33 @@
         && (team.acceleratorsMax() <= 0 || accelerators <= team.acceleratorsMax() + ROUNDING);
   }
 
+  /**
+   * Keeps part of a team's limit for its own more urgent work, as much as that lately wanted at once: else long
+   * tasks of lower priority fill the limit, and an urgent job waits for them although machines are free.
+   */
+  void reserve(String team, JobSpec.Priority priority, double cpus) {
+    reserves.computeIfAbsent(team, t -> new EnumMap<>(JobSpec.Priority.class)).merge(priority, cpus, Double::sum);
+  }
+
+  /** Whether one more task leaves the team's more urgent work its share of the limit. */
+  boolean leavesReserve(JobSpec spec) {
+    Settings.Team team = settings.teams().get(spec.team());
+    Map<JobSpec.Priority, Double> kept = reserves.get(spec.team());
+    if (team == null || team.cpusMax() <= 0 || kept == null) {
+      return true;
+    }
+    Use use = uses.get(spec.team());
+    double reserve = 0;
+    for (Map.Entry<JobSpec.Priority, Double> e : kept.entrySet()) {
+      if (e.getKey().compareTo(spec.priority()) < 0) {
+        double used = use == null ? 0 : use.byPriority.getOrDefault(e.getKey(), 0.0);
+        reserve += Math.max(0, e.getValue() - used);
+      }
+    }
+    reserve = Math.min(reserve, team.cpusMax() * MOST_RESERVED);
+    return (use == null ? 0 : use.cpus) + spec.cpus() <= team.cpusMax() - reserve + ROUNDING;
+  }
+
   /** Whether the team stays inside its guarantee with one more task. */
   boolean withinGuarantee(JobSpec spec) {
     Settings.Team team = settings.teams().get(spec.team());
