--- a/src/main/java/org/eiderstair/core/Fleet.java
+++ b/src/main/java/org/eiderstair/core/Fleet.java
@@ -15,6 +15,7 @@
 final class Fleet {
   private static final long ASK_AGAIN_MICROS = 1_500_000;
   private static final long LEASE_MARGIN_MICROS = 1_500_000;
+  private static final long OUT_OF_REACH_MICROS = 2_500_000;
   private static final long UNREACHED_MICROS = 6_000_000;
   private static final long FAILURE_PAUSE_MICROS = 1_000_000;
   private static final long LONGEST_PAUSE_MICROS = 60_000_000;
@@ -400,6 +401,26 @@
     }
   }
 
+  /**
+   * Whether this leader seems cut off from its machines: many of those it had heard are silent, and hardly any is
+   * not. Dead machines alone do not look like that, and relayed reports count as heard.
+   */
+  boolean outOfReach() {
+    long patience = settings.reportMicros() * 3 / 2 + OUT_OF_REACH_MICROS;
+    int silent = 0;
+    int heard = 0;
+    for (Machine m : machines.values()) {
+      if (m.phase == Machine.Phase.HEARD || m.phase == Machine.Phase.FENCING) {
+        if (now > m.heardMicros + patience) {
+          silent++;
+        } else {
+          heard++;
+        }
+      }
+    }
+    return silent >= 3 && silent > heard * 3;
+  }
+
   /** Learns the session, then shows our token with no orders: that fences older commands and reports at once. */
   private void ask(Machine m) {
     if (m.address == null || !leadership.mayCommand(now)) {
--- a/src/main/java/org/eiderstair/core/Leadership.java
+++ b/src/main/java/org/eiderstair/core/Leadership.java
@@ -23,6 +23,7 @@
 
   private static final long MARGIN_MICROS = 250_000;
   private static final long RETRY_MICROS = 400_000;
+  private static final long GIVEN_UP_PAUSE_MICROS = 15_000_000;
 
   private final Settings settings;
   private final Ports ports;
@@ -196,6 +197,15 @@
     }
   }
 
+  /**
+   * This node can renew its lease but is of no use, since it cannot reach the machines: another may. It stands
+   * again only after a pause, so that the others get their turn.
+   */
+  void giveUp(String why) {
+    deposed(why);
+    standAfterMicros = now + GIVEN_UP_PAUSE_MICROS;
+  }
+
   /** The replica's leader key changed. */
   void leaderChanged() {
     Replica.Leader leader = replica.leader();
--- a/src/main/java/org/eiderstair/core/Scheduler.java
+++ b/src/main/java/org/eiderstair/core/Scheduler.java
@@ -64,6 +64,10 @@
       fleet.takeOver(now);
     }
     fleet.tick(now);
+    if (fleet.outOfReach()) {
+      leadership.giveUp("most machines have not been heard for a while");
+      return;
+    }
     renting.tick(now);
     if (leadership.mayCommand(now) && (fleet.changed || replica.open.values().stream()
         .anyMatch(j -> j.notBeforeMicros > 0 && j.waiting() > 0 && now >= j.notBeforeMicros))) {
--- a/src/main/java/org/eiderstair/node/Node.java
+++ b/src/main/java/org/eiderstair/node/Node.java
@@ -14,9 +14,12 @@
 import org.eiderstair.core.Event;
 import org.eiderstair.http.Inbound;
 import org.eiderstair.http.Outbound;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** A running controller: the core with sockets and timers round it. */
 public final class Node implements AutoCloseable {
+  private static final Logger LOG = LoggerFactory.getLogger("eiderstair");
   private static final int THREADS = 8;
   private static final long IDLE_MS = 120_000;
 
@@ -32,6 +35,7 @@
     ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("timer", false);
     ArrayByteBufferPool buffers = new ArrayByteBufferPool(0, 4096, 65536, 32);
     CoreLoop loop = new CoreLoop();
+    LOG.info("node {} starts", config.settings().node());
 
     server = new Server(threads, scheduler, buffers);
     server.setStopTimeout(0);
@@ -47,6 +51,7 @@
     Inbound inbound = new Inbound(loop::offer);
     server.setHandler(inbound);
     server.start();
+    LOG.info("node {} listens on port {}", config.settings().node(), connector.getLocalPort());
 
     outbound = new Outbound(config.stateAddress(), config.cloudAddress(), config.peerAddresses(), threads, scheduler, buffers,
         (call, reply) -> loop.offer(new Event.Replied(call, reply)));
