--- a/src/main/java/org/eiderstair/core/Machine.java
+++ b/src/main/java/org/eiderstair/core/Machine.java
@@ -58,6 +58,8 @@
   long holdUntilMicros;
   long idleSinceMicros;
   boolean rostered;
+  /** More than the demand asks for: used last, so that it falls idle and can be returned. */
+  boolean surplus;
   boolean deleteInFlight;
   int errorsInRow;
   final Set<String> failedJobs = new HashSet<>();
--- a/src/main/java/org/eiderstair/core/Placement.java
+++ b/src/main/java/org/eiderstair/core/Placement.java
@@ -158,13 +158,13 @@
   }
 
   /**
-   * The paper's uniform draw, among the tokens that suit best: cheap machines for work that may use them, so that
+   * The paper's uniform draw, among the tokens that suit best: machines that the demand still asks for; cheap machines for work that may use them, so that
    * the others stay free for work that may not, or can be returned; then those that have the image; then those
    * already in use.
    */
   private Machine draw(Job job, Predicate<Machine> allowed) {
     JobSpec spec = job.spec();
-    return tokens.draw(allowed.and(m -> m.fits(spec)), m -> (m.spot ? 4 : 0)
+    return tokens.draw(allowed.and(m -> m.fits(spec)), m -> (m.surplus ? 0 : 8) + (m.spot ? 4 : 0)
         + (m.images.contains(spec.image()) ? 2 : 0) + (m.attempts.isEmpty() ? 0 : 1), random);
   }
 
--- a/src/main/java/org/eiderstair/core/Renting.java
+++ b/src/main/java/org/eiderstair/core/Renting.java
@@ -235,7 +235,8 @@
       wanted.forEach((offer, machines) -> rent(offer, Math.min(settings.tuning().rentBatch(), (int) Math.ceil(machines - 0.1))));
     }
     for (Room room : rooms) {
-      if (room.left > 0.999 && isIdle(room.machine)) {
+      room.machine.surplus = room.left > 0.999;
+      if (room.machine.surplus && isIdle(room.machine)) {
         returnNow(room.machine, "idle");
       }
     }
