Back to the order of age: the nearest keepable aim first made more jobs late

Tried: among jobs of equal priority, the one whose next keepable aim is missed first; late ones last.

--- a/src/main/java/org/eiderstair/core/Demand.java
+++ b/src/main/java/org/eiderstair/core/Demand.java
@@ -92,39 +92,18 @@
     return Math.min(job.unfinished(), work / window);
   }
 
-  /** How long after its submission a job should be complete: the nearest of its class's aims. */
+  /** How long after its submission a job should be complete. */
   private double allowed(JobSpec spec) {
-    List<Double> aims = aims(spec);
-    return aims.isEmpty() ? NO_AIM_FACTOR * spec.estimateMicros() + NO_AIM_MICROS : aims.get(0);
-  }
-
-  /**
-   * When the job's next aim is missed that can still be kept; the end of time when none can. When there is too much
-   * work for all, serving the late first would only make the others late too.
-   */
-  long dueMicros(Job job, long nowMicros) {
-    for (double aim : aims(job.spec())) {
-      long due = job.seenMicros + (long) aim;
-      if (nowMicros + job.spec().estimateMicros() <= due) {
-        return due;
-      }
-    }
-    return Long.MAX_VALUE;
-  }
-
-  /** The aims of a job's class as times from submission to completion, the nearest first. */
-  private List<Double> aims(JobSpec spec) {
-    List<Double> aims = new ArrayList<>();
+    double allowed = Double.MAX_VALUE;
     if (spec.deadlineMicros() != JobSpec.NO_DEADLINE) {
-      aims.add((double) spec.deadlineMicros());
+      allowed = spec.deadlineMicros();
     }
     for (Settings.Objective o : settings.objectives()) {
       if (o.jobClass().equals(spec.jobClass()) && o.withinMicros() > 0) {
         boolean toStart = o.kind().equals("wait");
-        aims.add((double) o.withinMicros() + (toStart ? spec.estimateMicros() : 0));
+        allowed = Math.min(allowed, o.withinMicros() + (toStart ? spec.estimateMicros() : 0));
       }
     }
-    aims.sort(null);
-    return aims;
+    return allowed == Double.MAX_VALUE ? NO_AIM_FACTOR * spec.estimateMicros() + NO_AIM_MICROS : allowed;
   }
 }
--- a/src/main/java/org/eiderstair/core/Placement.java
+++ b/src/main/java/org/eiderstair/core/Placement.java
@@ -11,7 +11,7 @@
 /**
  * The ordinary path: a task takes a uniformly random token whose machine fits it, else a random fitting
  * machine with a short queue, else it waits here. Jobs go by priority; a team inside its guarantee goes first
- * among equals, then the job whose aim is missed first of those that can still be kept, then the older job.
+ * among equals, then the older job.
  */
 final class Placement {
   private final Settings settings;
@@ -62,17 +62,15 @@
     boolean unheard = fleet.anyUnheard();
     List<Job> jobs = new ArrayList<>();
     Map<Job, Integer> rank = new HashMap<>();
-    Map<Job, Long> due = new HashMap<>();
     for (Job job : replica.open.values()) {
       boolean heldBack = unheard && job.version() < term;
       if (!heldBack && nowMicros >= job.notBeforeMicros && (job.waiting() > 0 || job.hasQueued())) {
         jobs.add(job);
-        due.put(job, demand.dueMicros(job, nowMicros));
         rank.put(job, measured.withinGuarantee(job.spec()) ? 0 : 1);
       }
     }
     jobs.sort(Comparator.comparing((Job j) -> j.spec().priority()).thenComparing(rank::get)
-        .thenComparing(due::get).thenComparing(Job::version));
+        .thenComparing(Job::version));
     return jobs;
   }
 
