--- a/src/main/java/org/eiderstair/core/Placement.java
+++ b/src/main/java/org/eiderstair/core/Placement.java
@@ -11,8 +11,7 @@
 /**
  * The ordinary path: a task takes a uniformly random token whose machine fits it, else a random fitting
  * machine with a short queue, else it waits here. Jobs go by priority; a team inside its guarantee goes first
- * among equals, then the job with the least work left, since
- * that completes the most jobs early.
+ * among equals, then the older job.
  */
 final class Placement {
   private final Settings settings;
@@ -71,15 +70,10 @@
       }
     }
     jobs.sort(Comparator.comparing((Job j) -> j.spec().priority()).thenComparing(rank::get)
-        .thenComparing(Placement::remaining).thenComparing(Job::version));
+        .thenComparing(Job::version));
     return jobs;
   }
 
-  /** How much processor time the job still needs, by its owner's estimate. */
-  private static double remaining(Job job) {
-    return job.unfinished() * job.spec().cpus() * job.spec().estimateMicros();
-  }
-
   void place(long nowMicros) {
     teams = measure();
     demand.reserve(teams);
