--- a/src/main/java/org/eiderstair/core/Fleet.java
+++ b/src/main/java/org/eiderstair/core/Fleet.java
@@ -16,6 +16,7 @@
   private static final long ASK_AGAIN_MICROS = 1_500_000;
   private static final long LEASE_MARGIN_MICROS = 1_500_000;
   private static final long OUT_OF_REACH_MICROS = 2_500_000;
+  private static final long SAVE_MARGIN_MICROS = 1_500_000;
   private static final long UNREACHED_MICROS = 6_000_000;
   private static final long FAILURE_PAUSE_MICROS = 1_000_000;
   private static final long LONGEST_PAUSE_MICROS = 60_000_000;
@@ -157,8 +158,8 @@
     m.sequence = report.sequence();
     if (report.noticeMicros() != MachineReport.NO_NOTICE && m.plan == Machine.Plan.USE) {
       ports.info("machine " + m.id + " has notice, term=" + term);
-      m.noticeUntilMicros = now + report.noticeMicros();
       drain(m);
+      saveProgress(m, report.noticeMicros());
     }
     boolean truth = report.token() >= m.token();
     if (truth && m.phase != Machine.Phase.HEARD) {
@@ -326,6 +327,16 @@
     changed = true;
   }
 
+  /** Before a machine is taken away, tasks that can save in time are told to; the others may yet complete. */
+  private void saveProgress(Machine m, long noticeMicros) {
+    for (Attempt a : m.attempts.values()) {
+      if (a.spec != null && a.spec.checkpointEveryMicros() > 0 && a.spec.saveMicros() + SAVE_MARGIN_MICROS <= noticeMicros) {
+        a.stop = true;
+        m.killsPending = true;
+      }
+    }
+  }
+
   private void unplan(Machine m) {
     tokens.remove(m);
     for (Attempt a : new ArrayList<>(m.attempts.values())) {
--- a/src/main/java/org/eiderstair/core/Machine.java
+++ b/src/main/java/org/eiderstair/core/Machine.java
@@ -54,7 +54,6 @@
   long heardMicros;
   /** When our last 200 to a report of this machine left; its lease may run from then. */
   long answeredMicros;
-  long noticeUntilMicros;
   long holdUntilMicros;
   long idleSinceMicros;
   boolean rostered;
--- a/src/main/java/org/eiderstair/core/Placement.java
+++ b/src/main/java/org/eiderstair/core/Placement.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.IntUnaryOperator;
 import java.util.function.Predicate;
 
@@ -14,6 +16,9 @@
  * among equals, then the older job.
  */
 final class Placement {
+  private static final int MOST_KILLS = 8;
+  private static final long PREEMPT_AFTER_MICROS = 4_000_000;
+
   private final Settings settings;
   private final Ports ports;
   private final Replica replica;
@@ -80,9 +85,75 @@
     List<Job> jobs = order(nowMicros, teams);
     JobSpec.Priority highest = jobs.isEmpty() ? JobSpec.Priority.LOW : jobs.get(0).spec().priority();
     serveQueues(highest, nowMicros);
+    Set<Job> guaranteed = guaranteed();
+    int kills = 0;
     for (Job job : jobs) {
       place(job, nowMicros);
+      if (kills < MOST_KILLS && (job.waiting() > 0 || job.hasQueued())) {
+        kills += preempt(job, guaranteed.contains(job), nowMicros, MOST_KILLS - kills);
+      }
+    }
+  }
+
+  /** Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs. */
+  private Set<Job> guaranteed() {
+    Set<Job> inside = new HashSet<>();
+    Map<String, Double> taken = new HashMap<>();
+    List<Job> byAge = new ArrayList<>(replica.open.values());
+    byAge.sort(Comparator.comparing(Job::version));
+    for (Job job : byAge) {
+      Settings.Team team = settings.teams().get(job.spec().team());
+      double cpus = taken.merge(job.spec().team(), job.unfinished() * job.spec().cpus(), Double::sum);
+      if (team != null && team.cpus() > 0 && cpus <= team.cpus()) {
+        inside.add(job);
+      }
+    }
+    return inside;
+  }
+
+  /**
+   * Stops work of other teams beyond their guarantees when a job inside its own team's guarantee has waited for a
+   * while. Work of lower priority is not stopped for priority alone: see docs/design.md for the figures.
+   */
+  private int preempt(Job job, boolean inGuarantee, long nowMicros, int most) {
+    JobSpec spec = job.spec();
+    if (!inGuarantee || nowMicros < job.seenMicros + PREEMPT_AFTER_MICROS || !teams.allowsOneMore(spec)) {
+      return 0;
+    }
+    double needed = 0;
+    for (Attempt a : job.active.values()) {
+      needed += a.phase == Attempt.Phase.QUEUED ? spec.cpus() : 0;
+    }
+    needed += job.waiting() * spec.cpus();
+    Predicate<Machine> allowed = allowed(job, zonesOf(job), nowMicros);
+    List<Attempt> victims = new ArrayList<>();
+    for (Machine m : fleet.machines.values()) {
+      for (Attempt a : m.attempts.values()) {
+        if (a.stop && allowed.test(m)) {
+          needed -= a.spec.cpus();
+        } else if (a.phase == Attempt.Phase.SEEN && a.spec != null && a.job.open() && !a.stop && allowed.test(m)
+            && spec.priority().compareTo(a.spec.priority()) <= 0 && !a.spec.team().equals(spec.team())
+            && teams.beyondGuarantee(a.spec.team()) >= a.spec.cpus()) {
+          victims.add(a);
+        }
+      }
+    }
+    // The least important first, and of those the one that loses the least work.
+    victims.sort(Comparator.comparing((Attempt a) -> a.spec.priority()).reversed()
+        .thenComparing(a -> -a.runningSinceMicros));
+    int kills = 0;
+    for (Attempt victim : victims) {
+      if (needed <= 0 || kills >= most) {
+        break;
+      }
+      victim.stop = true;
+      victim.machine.killsPending = true;
+      needed -= victim.spec.cpus();
+      kills++;
+      ports.info("stopping " + victim.task() + " on " + victim.machine.id + " for " + job.id + " of team "
+          + spec.team() + ", term=" + term);
     }
+    return kills;
   }
 
   /** A machine's own queue goes first, but never before waiting work of a higher priority. */
