--- a/src/main/java/org/eiderstair/core/Placement.java
+++ b/src/main/java/org/eiderstair/core/Placement.java
@@ -17,7 +17,7 @@
  */
 final class Placement {
   private static final int MOST_KILLS = 8;
-  private static final long PREEMPT_AFTER_MICROS = 4_000_000;
+  private static final long PREEMPT_AFTER_MICROS = 60_000_000;
 
   private final Settings settings;
   private final Ports ports;
