--- a/src/main/java/org/eiderstair/core/Job.java
+++ b/src/main/java/org/eiderstair/core/Job.java
@@ -39,6 +39,8 @@
   long seenMicros;
   /** Machines on which a task failed since the last success; each one more makes the next pause longer. */
   final Set<String> failedOn = new HashSet<>();
+  /** When work of others was last stopped for this job: what that frees must first have had time to arrive. */
+  long preemptedMicros;
   int failedRounds;
   long notBeforeMicros;
   private int firstFree;
--- a/src/main/java/org/eiderstair/core/Placement.java
+++ b/src/main/java/org/eiderstair/core/Placement.java
@@ -17,6 +17,7 @@
  */
 final class Placement {
   private static final int MOST_KILLS = 8;
+  private static final long PREEMPT_AGAIN_MICROS = 30_000_000;
   private static final long PREEMPT_AFTER_MICROS = 60_000_000;
 
   private final Settings settings;
@@ -63,7 +64,7 @@
   }
 
   /** Jobs with something to place now, in the order of service. */
-  List<Job> order(long nowMicros, Teams measured) {
+  List<Job> order(long nowMicros, Set<Job> guaranteed) {
     boolean unheard = fleet.anyUnheard();
     List<Job> jobs = new ArrayList<>();
     Map<Job, Integer> rank = new HashMap<>();
@@ -71,7 +72,7 @@
       boolean heldBack = unheard && job.version() < term;
       if (!heldBack && nowMicros >= job.notBeforeMicros && (job.waiting() > 0 || job.hasQueued())) {
         jobs.add(job);
-        rank.put(job, measured.withinGuarantee(job.spec()) ? 0 : 1);
+        rank.put(job, guaranteed.contains(job) ? 0 : 1);
       }
     }
     jobs.sort(Comparator.comparing((Job j) -> j.spec().priority()).thenComparing(rank::get)
@@ -82,10 +83,10 @@
   void place(long nowMicros) {
     teams = measure();
     demand.reserve(teams);
-    List<Job> jobs = order(nowMicros, teams);
+    Set<Job> guaranteed = guaranteed();
+    List<Job> jobs = order(nowMicros, guaranteed);
     JobSpec.Priority highest = jobs.isEmpty() ? JobSpec.Priority.LOW : jobs.get(0).spec().priority();
     serveQueues(highest, nowMicros);
-    Set<Job> guaranteed = guaranteed();
     int kills = 0;
     for (Job job : jobs) {
       place(job, nowMicros);
@@ -117,9 +118,11 @@
    */
   private int preempt(Job job, boolean inGuarantee, long nowMicros, int most) {
     JobSpec spec = job.spec();
-    if (!inGuarantee || nowMicros < job.seenMicros + PREEMPT_AFTER_MICROS || !teams.allowsOneMore(spec)) {
+    long waitedSince = Math.max(job.seenMicros + PREEMPT_AFTER_MICROS, job.preemptedMicros + PREEMPT_AGAIN_MICROS);
+    if (!inGuarantee || nowMicros < waitedSince || !teams.allowsOneMore(spec)) {
       return 0;
     }
+    job.preemptedMicros = nowMicros;
     double needed = 0;
     for (Attempt a : job.active.values()) {
       needed += a.phase == Attempt.Phase.QUEUED ? spec.cpus() : 0;
--- a/src/main/java/org/eiderstair/core/Teams.java
+++ b/src/main/java/org/eiderstair/core/Teams.java
@@ -79,14 +79,6 @@
     return (use == null ? 0 : use.cpus) + spec.cpus() <= team.cpusMax() - reserve + ROUNDING;
   }
 
-  /** Whether the team stays inside its guarantee with one more task. */
-  boolean withinGuarantee(JobSpec spec) {
-    Settings.Team team = settings.teams().get(spec.team());
-    Use use = uses.get(spec.team());
-    return team != null && (use == null ? 0 : use.cpus) + spec.cpus() <= team.cpus() + ROUNDING
-        && (use == null ? 0 : use.accelerators) + spec.accelerators() <= team.accelerators() + ROUNDING;
-  }
-
   /** How far beyond its guarantee a team is, in processors; negative when inside. */
   double beyondGuarantee(String name) {
     Settings.Team team = settings.teams().get(name);
