--- /dev/null
+++ b/src/test/java/org/eiderstair/core/PlacementTest.java
@@ -0,0 +1,151 @@
+package org.eiderstair.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Example;
+import org.eiderstair.core.JobSpec.Priority;
+
+class PlacementTest {
+  private static final long NOW = 100_000_000;
+  private static final MachineType TYPE =
+      new MachineType("t", 8, 0, 32, 10, 1, 1, 0.3, 30_000_000, List.of("a", "b"));
+
+  private final Settings settings = new Settings("n0", List.of(), List.of("a", "b"), Map.of(
+      "red", new Settings.Team("red", 4, 8, 0, 0), "blue", new Settings.Team("blue", 4, 0, 0, 0)), List.of(),
+      3_000_000, 20_000_000, 40_000_000, 100, 50, 32768, 16, 5, 5_000_000, Settings.Tuning.defaults());
+  private final Ports ports = new Ports(e -> { });
+  private final Replica replica = new Replica(ports, new Replica.Listener() {
+    @Override
+    public void leaderChanged() { }
+
+    @Override
+    public void jobChanged(Job job, boolean isNew) { }
+
+    @Override
+    public void loaded() { }
+  });
+  private final TokenList tokens = new TokenList(10);
+  private final Fleet fleet = new Fleet(settings, ports, replica, null, null, tokens, 1);
+  private final Demand demand = new Demand(settings, replica);
+  private final Placement placement = new Placement(settings, ports, replica, fleet, tokens, 1, demand, n -> 0);
+  private long versions = 1;
+
+  private Job job(int number, String team, Priority priority, int tasks, double cpus) {
+    JobSpec spec = new JobSpec("job-" + number, "c" + number, team, JobSpec.Shape.ARRAY, priority, tasks, cpus, 0, 1,
+        "img", 1, null, null, false, false, true, 20_000_000, 0, 0, JobSpec.NO_DEADLINE);
+    replica.apply(new Reply.Item(Records.jobKey(spec.id()), Records.openJob(spec), ++versions));
+    return replica.jobs.get(spec.id());
+  }
+
+  private Machine machine(String id, String zone, boolean spot) {
+    Machine m = new Machine(id, 1, Machine.Phase.HEARD, 0);
+    m.type = TYPE;
+    m.typeName = "t";
+    m.zone = zone;
+    m.spot = spot;
+    m.rostered = true;
+    fleet.machines.put(id, m);
+    tokens.offer(m);
+    return m;
+  }
+
+  private static void seen(Job job) {
+    job.active.values().forEach(a -> {
+      a.phase = Attempt.Phase.SEEN;
+      a.machine.toLaunch.clear();
+    });
+  }
+
+  @Example
+  void higherPriorityGoesFirstAndTheRestQueuesOrWaits() {
+    Job low = job(1, "blue", Priority.LOW, 12, 1);
+    Job high = job(2, "blue", Priority.HIGH, 6, 1);
+    Machine m = machine("m", "a", true);
+    placement.place(NOW);
+    assertEquals(6, high.active.size());
+    assertEquals(4, low.active.size(), "two run and two queue");
+    assertEquals(2, m.queue.size());
+    assertEquals(8, m.toLaunch.size());
+  }
+
+  @Example
+  void aTeamStaysInsideItsLimitWhateverUnheardMachinesHold() {
+    Job red = job(1, "red", Priority.NORMAL, 20, 1);
+    machine("m", "a", true);
+    machine("n", "a", true);
+    placement.place(NOW);
+    assertEquals(8, red.active.size());
+    Machine unheard = new Machine("u", 1, Machine.Phase.UNHEARD, 0);
+    unheard.type = TYPE;
+    fleet.machines.put("u", unheard);
+    Teams teams = placement.measure();
+    assertFalse(teams.allowsOneMore(red.spec()));
+  }
+
+  /** Guards against long ordinary tasks filling a team's limit, so that its urgent jobs wait beside free machines. */
+  @Example
+  void partOfTheLimitIsKeptForMoreUrgentWork() {
+    Job urgent = job(1, "red", Priority.HIGH, 4, 1);
+    demand.measure(NOW);
+    urgent.become(Job.State.DONE, ++versions, 4, null, 0);
+    replica.open.remove(urgent.id);
+    Job normal = job(2, "red", Priority.NORMAL, 20, 1);
+    machine("m", "a", true);
+    machine("n", "a", true);
+    placement.place(NOW);
+    assertTrue(normal.active.size() < 8, "placed " + normal.active.size());
+    assertTrue(normal.active.size() >= 4, "at most half of the limit is kept");
+  }
+
+  /** Seen in an incident: a victim that was itself guaranteed was placed again first, and stopped again. */
+  @Example
+  void aJobInsideItsGuaranteeIsNotStopped() {
+    Job inside = job(1, "blue", Priority.NORMAL, 4, 1);
+    Job beyond = job(2, "blue", Priority.NORMAL, 4, 1);
+    machine("m", "a", true);
+    placement.place(NOW);
+    seen(inside);
+    seen(beyond);
+    Job waiting = job(3, "red", Priority.NORMAL, 3, 1);
+    waiting.seenMicros = 0;
+    placement.place(NOW);
+    assertTrue(inside.active.values().stream().noneMatch(a -> a.stop));
+    assertEquals(3, beyond.active.values().stream().filter(a -> a.stop).count());
+  }
+
+  @Example
+  void zoneRulesHoldAcrossPasses() {
+    JobSpec.Shape array = JobSpec.Shape.ARRAY;
+    JobSpec one = new JobSpec("job-8", "c", "blue", array, Priority.NORMAL, 6, 4, 0, 1, "img", 1, null, null, true,
+        false, true, 1_000_000, 0, 0, JobSpec.NO_DEADLINE);
+    JobSpec spread = new JobSpec("job-9", "c", "blue", array, Priority.NORMAL, 5, 1, 0, 1, "img", 1, null, null,
+        false, true, true, 1_000_000, 0, 0, JobSpec.NO_DEADLINE);
+    for (JobSpec spec : List.of(one, spread)) {
+      replica.apply(new Reply.Item(Records.jobKey(spec.id()), Records.openJob(spec), ++versions));
+    }
+    machine("a1", "a", true);
+    machine("b1", "b", true);
+    machine("a2", "a", true);
+    placement.place(NOW);
+    placement.place(NOW + 1);
+    assertEquals(1, replica.jobs.get("job-8").active.values().stream().map(a -> a.machine.zone).distinct().count());
+    Map<String, Integer> perZone = new HashMap<>();
+    replica.jobs.get("job-9").active.values().forEach(a -> perZone.merge(a.machine.zone, 1, Integer::sum));
+    perZone.values().forEach(n -> assertTrue(n <= 3, perZone.toString()));
+  }
+
+  @Example
+  void ordinaryMachinesAreLeftToWorkThatNeedsThem() {
+    Machine ordinary = machine("o", "a", false);
+    Machine spot = machine("s", "a", true);
+    job(1, "blue", Priority.NORMAL, 4, 1);
+    placement.place(NOW);
+    assertEquals(4, spot.toLaunch.size());
+    assertTrue(ordinary.toLaunch.isEmpty());
+  }
+}
