--- a/src/main/java/org/eiderstair/core/Renting.java
+++ b/src/main/java/org/eiderstair/core/Renting.java
@@ -18,7 +18,6 @@
   private static final long REFUSED_PAUSE_MICROS = 15_000_000;
   private static final long RETRY_MICROS = 1_500_000;
   private static final long CHEAPEST_LIFE_MICROS = 60_000_000;
-  private static final double DEAR_PART = 0.75;
   private static final int BOOT_PATIENCE = 4;
 
   /** A kind of machine in one zone: what a rental names, and what the cloud refuses by. */
@@ -223,19 +222,11 @@
     rooms.sort(Comparator.comparing((Room r) -> !r.machine.spot).thenComparing(r -> r.machine.attempts.isEmpty()));
     Map<Offer, Double> wanted = new LinkedHashMap<>();
     for (Demand.Wish wish : demand.measure(now)) {
-      boolean flexible = wish.spec().spotAllowed();
       double tasks = wish.tasks();
-      // What may run on cheap machines gets dear ones only for the larger part of what it would like.
-      double dear = flexible ? tasks * (1 - DEAR_PART) : 0;
       for (Room room : rooms) {
-        double wanting = room.machine.spot ? tasks : tasks - dear;
-        tasks -= wanting > 0 ? room.take(wish.spec(), wanting) : 0;
+        tasks -= room.take(wish.spec(), tasks);
       }
       Offer offer = tasks > 1e-3 ? choose(wish.spec()) : null;
-      if (offer != null && !offer.spot()) {
-        tasks -= dear;
-        offer = tasks > 1e-3 ? offer : null;
-      }
       if (offer != null) {
         boolean nowhere = rooms.stream().noneMatch(r -> r.machine.allows(wish.spec()));
         double machines = tasks * share(wish.spec(), type(offer.type()));
