Back to one hold of peaks for all work

Tried: peaks held 150 s for classes that cannot wait for a boot and 50 s for the rest. The long hold also keeps more of a team's limit from its other work.

--- a/src/main/java/org/eiderstair/core/Demand.java
+++ b/src/main/java/org/eiderstair/core/Demand.java
@@ -12,10 +12,7 @@
  * the highest recent demand is held for a while, since a new machine takes a while to come.
  */
 final class Demand {
-  private static final double HOLD_MICROS = 50e6;
-  /** For work that is late if it has to wait for a machine to boot. */
-  private static final double LONG_HOLD_MICROS = 150e6;
-  private static final double BOOTS = 1.5;
+  private static final double HOLD_MICROS = 60e6;
   /** Estimates are often too low and room is not always where it is needed: plan to be ready early. */
   private static final double EARLY = 0.7;
   private static final double NO_AIM_FACTOR = 4;
@@ -42,7 +39,7 @@
 
   /** Work that may use fewer kinds of machines comes first, so that it gets those. */
   List<Wish> measure(long nowMicros) {
-    double passedMicros = nowMicros - measuredMicros;
+    double fade = Math.exp(-(nowMicros - measuredMicros) / HOLD_MICROS);
     measuredMicros = nowMicros;
     classes.values().forEach(h -> h.now = 0);
     for (Job job : replica.open.values()) {
@@ -58,8 +55,6 @@
     List<Wish> wishes = new ArrayList<>();
     Map<String, Double> teams = new LinkedHashMap<>();
     for (Held held : classes.values()) {
-      boolean cannotWait = allowed(held.spec) < held.spec.estimateMicros() + BOOTS * bootMicros();
-      double fade = Math.exp(-passedMicros / (cannotWait ? LONG_HOLD_MICROS : HOLD_MICROS));
       held.peak = Math.max(held.now, held.peak * fade);
       Settings.Team team = settings.teams().get(held.spec.team());
       double limit = team == null || team.cpusMax() <= 0 ? Double.MAX_VALUE : team.cpusMax();
@@ -99,14 +94,6 @@
     return Math.min(job.unfinished(), work / window);
   }
 
-  private double bootMicros() {
-    double shortest = Double.MAX_VALUE;
-    for (MachineType type : replica.catalog()) {
-      shortest = Math.min(shortest, type.bootMicros());
-    }
-    return replica.catalog().isEmpty() ? 0 : shortest;
-  }
-
   /** How long after its submission a job should be complete. */
   private double allowed(JobSpec spec) {
     double allowed = Double.MAX_VALUE;
