--- a/src/main/java/org/eiderstair/config/PlatformFile.java
+++ b/src/main/java/org/eiderstair/config/PlatformFile.java
@@ -56,9 +56,8 @@
     Settings core = new Settings(text(root, "node", "node"), peers, zones, teams(settings), objectives(settings),
         micros(workers, "settings.workers.report_s", "report_s"), lease, cancel,
         positive(state, "settings.state.rps", "rps"), positive(state, "settings.state.write_rps", "write_rps"),
-        (int) (positive(state, "settings.state.value_kb", "value_kb") * 1024),
         (int) positive(state, "settings.state.txn_ops", "txn_ops"), positive(cloud, "settings.cloud.rps", "rps"),
-        micros(cloud, "settings.cloud.list_lag_s", "list_lag_s"), tuning);
+        tuning);
     String bind = address(root, "bind", "bind");
     String peerBind = address(root, "peer_bind", "peer_bind");
     return new NodeConfig(core, host(bind), port(bind), host(peerBind), port(peerBind),
--- a/src/main/java/org/eiderstair/core/Core.java
+++ b/src/main/java/org/eiderstair/core/Core.java
@@ -26,7 +26,7 @@
     this.settings = settings;
     this.random = random;
     this.ports = new Ports(effects);
-    this.replica = new Replica(ports, this);
+    this.replica = new Replica(settings, ports, this);
     this.desk = new Desk(settings, ports, replica);
     this.relay = new Relay(ports);
     this.leadership = new Leadership(settings, ports, replica, incarnation, this);
--- a/src/main/java/org/eiderstair/core/Demand.java
+++ b/src/main/java/org/eiderstair/core/Demand.java
@@ -12,7 +12,7 @@
  * the highest recent demand is held for a while, since a new machine takes a while to come.
  */
 final class Demand {
-  private static final double HOLD_MICROS = 60e6;
+  private static final double HOLD_MICROS = 90e6;
   /** Estimates are often too low and room is not always where it is needed: plan to be ready early. */
   private static final double EARLY = 0.7;
   private static final double NO_AIM_FACTOR = 4;
--- a/src/main/java/org/eiderstair/core/Desk.java
+++ b/src/main/java/org/eiderstair/core/Desk.java
@@ -12,7 +12,6 @@
  * what cannot be stored or confirmed is answered 503 at once, with when to come back.
  */
 final class Desk {
-  private static final long GATHER_MICROS = 60_000;
   private static final int RETRY_AFTER_S = 1;
 
   private record Waiting(String id, Consumer<Job> current, Runnable unavailable) {}
@@ -197,7 +196,7 @@
     }
     waiting = later;
     confirming = true;
-    nextConfirmMicros = now + GATHER_MICROS;
+    nextConfirmMicros = now + settings.gatherMicros();
     List<Request.Condition> conditions = new ArrayList<>();
     versions.forEach((id, version) -> conditions.add(new Request.Condition(Records.jobKey(id), version)));
     ports.call(new Request.StoreTxn(conditions, List.of()), reply -> {
--- a/src/main/java/org/eiderstair/core/Replica.java
+++ b/src/main/java/org/eiderstair/core/Replica.java
@@ -16,7 +16,6 @@
   private static final int PAGE = 500;
   private static final long HOLD_MICROS = 4_000_000;
   private static final long RETRY_MICROS = 500_000;
-  private static final long GATHER_MICROS = 50_000;
 
   /** LOADING reads every key; FOLLOWING has them and waits for changes. */
   enum State { IDLE, LOADING, FOLLOWING }
@@ -34,6 +33,7 @@
 
   record RosterEntry(String machine, String address, String type, String zone, boolean spot, long version) {}
 
+  private final Settings settings;
   private final Ports ports;
   private final Listener listener;
   private State state = State.IDLE;
@@ -42,7 +42,6 @@
   private long nextTryMicros;
   private Set<String> loading;
   private long loadRevision;
-  private long lastNewsMicros;
 
   final Map<String, Job> jobs = new HashMap<>();
   /** Open jobs in the order in which this node learnt of them. */
@@ -54,7 +53,8 @@
   private List<MachineType> catalog = List.of();
   private long catalogVersion;
 
-  Replica(Ports ports, Listener listener) {
+  Replica(Settings settings, Ports ports, Listener listener) {
+    this.settings = settings;
     this.ports = ports;
     this.listener = listener;
   }
@@ -162,9 +162,8 @@
           apply(item);
         }
         revision = Math.max(revision, changed.revision());
-        lastNewsMicros = now;
         // Changes that come close together cost one request, not one each.
-        retryWatchAt = now + (changed.changes().isEmpty() ? 0 : GATHER_MICROS);
+        retryWatchAt = now + (changed.changes().isEmpty() ? 0 : settings.gatherMicros());
         retry(now);
       } else if (reply instanceof Reply.Refused refused && refused.status() == 410) {
         ports.info("watch fell behind revision " + revision + ": reading all keys again");
@@ -185,11 +184,6 @@
     }
   }
 
-  /** When the watch last answered: a leader whose picture is old must not trust it. */
-  long lastNewsMicros() {
-    return lastNewsMicros;
-  }
-
   /** Takes one key's newer value, from the watch, a list, a read, or this node's own transaction. */
   void apply(Reply.Item item) {
     String key = item.key();
--- a/src/main/java/org/eiderstair/core/Settings.java
+++ b/src/main/java/org/eiderstair/core/Settings.java
@@ -15,12 +15,18 @@
     long cancelMicros,
     double stateRps,
     double stateWriteRps,
-    int stateValueBytes,
     int stateTxnOps,
     double cloudRps,
-    long cloudListLagMicros,
     Tuning tuning) {
 
+  /**
+   * How long requests of one kind are gathered before one asks the state service for all of them: with watching and
+   * confirming on every node, about two thirds of its limit at the most.
+   */
+  public long gatherMicros() {
+    return (long) (3e6 * (peers.size() + 1) / stateRps);
+  }
+
   /** A team's guarantee and limit; a limit of 0 means none. */
   public record Team(String name, double cpus, double cpusMax, double accelerators, double acceleratorsMax) {}
 
--- a/src/main/java/org/eiderstair/core/Teams.java
+++ b/src/main/java/org/eiderstair/core/Teams.java
@@ -86,19 +86,6 @@
     return (use == null ? 0 : use.cpus) - (team == null ? 0 : team.cpus());
   }
 
-  /** Processors that the team may still take before its limit; infinite without one. */
-  double headroom(String name) {
-    Settings.Team team = settings.teams().get(name);
-    if (team == null) {
-      return 0;
-    }
-    if (team.cpusMax() <= 0) {
-      return Double.POSITIVE_INFINITY;
-    }
-    Use use = uses.get(name);
-    return Math.max(0, team.cpusMax() - (use == null ? 0 : use.cpus));
-  }
-
   /** What the limits allow a job at all: one task of an array, every task of a service. */
   boolean canEverHold(JobSpec spec) {
     Settings.Team team = settings.teams().get(spec.team());
--- a/src/main/java/org/eiderstair/node/Node.java
+++ b/src/main/java/org/eiderstair/node/Node.java
@@ -4,6 +4,7 @@
 import org.eclipse.jetty.io.ArrayByteBufferPool;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.NetworkConnectionLimit;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -21,6 +22,7 @@
 public final class Node implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger("eiderstair");
   private static final int THREADS = 8;
+  private static final int KEPT_SOCKETS = 200;
   private static final long IDLE_MS = 120_000;
 
   private final Server server;
@@ -48,6 +50,10 @@
     connector = connector(http, scheduler, buffers, config.bindHost(), config.bindPort());
     ServerConnector peers = connector(http, scheduler, buffers, config.peerHost(), config.peerPort());
     peers.setName(Inbound.PEER);
+    if (config.maxConnections() > KEPT_SOCKETS) {
+      // Sockets for the state service, the cloud, workers and peers must be left when users take all others.
+      server.addBean(new NetworkConnectionLimit(config.maxConnections() - KEPT_SOCKETS, connector));
+    }
     Inbound inbound = new Inbound(loop::offer);
     server.setHandler(inbound);
     server.start();
--- a/src/main/java/org/eiderstair/protocol/UserMessages.java
+++ b/src/main/java/org/eiderstair/protocol/UserMessages.java
@@ -11,6 +11,8 @@
 public final class UserMessages {
   public static final int MOST_BYTES = 64 * 1024;
   private static final int MOST_TASKS = 100_000;
+  private static final int MOST_TYPES = 100;
+  private static final int LONGEST_TYPE = 100;
   private static final Pattern ID = Pattern.compile("job-[0-9]{1,20}");
   private static final Map<String, JobSpec.Shape> SHAPES =
       Map.of("sweep", JobSpec.Shape.ARRAY, "standing", JobSpec.Shape.SERVICE);
@@ -49,6 +51,10 @@
       throw new Malformed("Pieces is not between 1 and " + MOST_TASKS);
     }
     List<String> types = f.has("Hulls") ? f.texts("Hulls") : null;
+    if (types != null && (types.size() > MOST_TYPES || types.stream().anyMatch(t -> t.length() > LONGEST_TYPE))) {
+      // A job's record must fit into one value of the state service.
+      throw new Malformed("Hulls is too long");
+    }
     return new JobSpec(id(message), f.text("JobkindGroup"), f.text("Crew"), shape, priority, (int) tasks,
         f.amount("Cores"), f.amount("Accelerators"), f.amount("MemoryGb"), f.text("Bundle"), f.amount("ImageGb"),
         types, f.textOrNull("Fjord"), f.flag("OneZone"), f.flag("Scatter"), f.flag("Driftwood"), f.micros("GuessS"),
--- a/src/test/java/org/eiderstair/core/PlacementTest.java
+++ b/src/test/java/org/eiderstair/core/PlacementTest.java
@@ -17,9 +17,9 @@
 
   private final Settings settings = new Settings("n0", List.of(), List.of("a", "b"), Map.of(
       "red", new Settings.Team("red", 4, 8, 0, 0), "blue", new Settings.Team("blue", 4, 0, 0, 0)), List.of(),
-      3_000_000, 20_000_000, 40_000_000, 100, 50, 32768, 16, 5, 5_000_000, Settings.Tuning.defaults());
+      3_000_000, 20_000_000, 40_000_000, 100, 50, 16, 5, Settings.Tuning.defaults());
   private final Ports ports = new Ports(e -> { });
-  private final Replica replica = new Replica(ports, new Replica.Listener() {
+  private final Replica replica = new Replica(settings, ports, new Replica.Listener() {
     @Override
     public void leaderChanged() { }
 
--- a/src/test/java/org/eiderstair/sim/Day.java
+++ b/src/test/java/org/eiderstair/sim/Day.java
@@ -149,8 +149,7 @@
     Map<String, Settings.Team> teams = new LinkedHashMap<>();
     teams.put("red", new Settings.Team("red", 8, LIMIT, 0, 0));
     teams.put("blue", new Settings.Team("blue", 8, LIMIT, 0, 0));
-    return new Settings(node, peers, ZONES, teams, List.of(), 3_000_000, 15_000_000, 32_000_000, 200, 80, 32768, 12, 8,
-        3_000_000, Settings.Tuning.defaults());
+    return new Settings(node, peers, ZONES, teams, List.of(), 3_000_000, 15_000_000, 32_000_000, 200, 80, 12, 8, Settings.Tuning.defaults());
   }
 
   long leaseMicros() {
