--- a/src/main/java/org/eiderstair/core/Machine.java
+++ b/src/main/java/org/eiderstair/core/Machine.java
@@ -57,8 +57,6 @@
   long holdUntilMicros;
   long idleSinceMicros;
   boolean rostered;
-  /** What part of the machine is wanted by work that may only run on ordinary ones. */
-  double keptForOrdinary;
   /** More than the demand asks for: used last, so that it falls idle and can be returned. */
   boolean surplus;
   boolean deleteInFlight;
@@ -142,23 +140,6 @@
     return Math.max(0, freeMemory);
   }
 
-  /**
-   * Whether a task that could run on a cheap machine too leaves enough of this ordinary one to work that cannot: in
-   * a burst of such work, the few ordinary machines would else be full of what could have waited elsewhere.
-   */
-  boolean leavesOrdinary(JobSpec spec) {
-    if (spot || !spec.spotAllowed() || keptForOrdinary <= 0) {
-      return true;
-    }
-    double used = 0;
-    for (Attempt a : attempts.values()) {
-      if (a.phase != Attempt.Phase.QUEUED && a.spec != null && !a.spec.spotAllowed()) {
-        used += a.spec.cpus();
-      }
-    }
-    return freeCpus - spec.cpus() >= keptForOrdinary * type.cpus() - used - 1e-6;
-  }
-
   boolean hasRoom() {
     return freeCpus > 1e-6 && freeMemory > 1e-6;
   }
--- a/src/main/java/org/eiderstair/core/Placement.java
+++ b/src/main/java/org/eiderstair/core/Placement.java
@@ -167,7 +167,7 @@
         boolean yields = a.spec.priority().compareTo(highest) > 0;
         if (yields || !a.job.open()) {
           fleet.remove(a);
-        } else if (m.usable(nowMicros) && m.fits(a.spec) && m.leavesOrdinary(a.spec)) {
+        } else if (m.usable(nowMicros) && m.fits(a.spec)) {
           m.queue.remove(a);
           a.phase = Attempt.Phase.PLANNED;
           m.take(a.spec);
@@ -239,7 +239,7 @@
    */
   private Machine draw(Job job, Predicate<Machine> allowed) {
     JobSpec spec = job.spec();
-    return tokens.draw(allowed.and(m -> m.fits(spec) && m.leavesOrdinary(spec)), m -> (m.surplus ? 0 : 8) + (m.spot ? 4 : 0)
+    return tokens.draw(allowed.and(m -> m.fits(spec)), m -> (m.surplus ? 0 : 8) + (m.spot ? 4 : 0)
         + (m.images.contains(spec.image()) ? 2 : 0) + (m.attempts.isEmpty() ? 0 : 1), random);
   }
 
--- a/src/main/java/org/eiderstair/core/Renting.java
+++ b/src/main/java/org/eiderstair/core/Renting.java
@@ -225,10 +225,6 @@
       double tasks = wish.tasks();
       for (Room room : rooms) {
         tasks -= room.take(wish.spec(), tasks);
-        if (!wish.spec().spotAllowed()) {
-          // Such wishes come first, so what is taken by now is what they want of this machine.
-          room.machine.keptForOrdinary = 1 - room.left;
-        }
       }
       Offer offer = tasks > 1e-3 ? choose(wish.spec()) : null;
       if (offer != null) {
