--- /dev/null
+++ b/src/test/java/org/eiderstair/core/FleetTest.java
@@ -0,0 +1,105 @@
+package org.eiderstair.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Example;
+import org.eiderstair.core.MachineReport.Entry;
+import org.eiderstair.core.MachineReport.Exit;
+import org.eiderstair.core.MachineReport.TaskState;
+
+/** What a report may and may not prove. */
+class FleetTest {
+  private static final MachineType TYPE = new MachineType("t", 8, 2, 32, 10, 1, 1, 0.3, 30_000_000, List.of("a"));
+  private final Settings settings = new Settings("n0", List.of(), List.of("a"),
+      Map.of("red", new Settings.Team("red", 0, 0, 0, 0)), List.of(), 3_000_000, 20_000_000, 40_000_000, 100, 50, 16, 5,
+      Settings.Tuning.defaults());
+  private final Ports ports = new Ports(e -> { });
+  private final Replica replica = new Replica(settings, ports, new Replica.Listener() {
+    @Override
+    public void leaderChanged() { }
+
+    @Override
+    public void jobChanged(Job job, boolean isNew) { }
+
+    @Override
+    public void loaded() { }
+  });
+  private final Fleet fleet = new Fleet(settings, ports, replica, null, null, new TokenList(10), 1);
+  private final Machine machine = new Machine("m", 1, Machine.Phase.HEARD, 0);
+  private final TaskId task = new TaskId("job-1", 0);
+  private Job job;
+  private Attempt attempt;
+
+  private void launched(Attempt.Phase phase) {
+    JobSpec spec = new JobSpec("job-1", "c", "red", JobSpec.Shape.ARRAY, JobSpec.Priority.NORMAL, 2, 1, 1, 1, "img", 1,
+        null, null, false, false, true, 20_000_000, 30_000_000, 4_000_000, JobSpec.NO_DEADLINE);
+    replica.apply(new Reply.Item(Records.jobKey("job-1"), Records.openJob(spec), 5));
+    job = replica.jobs.get("job-1");
+    job.shownRunning = 1;
+    machine.type = TYPE;
+    machine.rostered = true;
+    machine.address = "x";
+    machine.typeName = "t";
+    machine.session = 1;
+    fleet.machines.put("m", machine);
+    attempt = new Attempt(job, 0, 77, machine, phase, 0);
+    job.active.put(0, attempt);
+    machine.attempts.put(task, attempt);
+  }
+
+  private MachineReport report(long session, long sequence, long token, long notice, Entry... entries) {
+    return new MachineReport("m", "x", "t", "a", true, session, sequence, token, notice, List.of(entries));
+  }
+
+  @Example
+  void aReportWhileACommandIsOnItsWayDoesNotFreeItsTask() {
+    launched(Attempt.Phase.SENT);
+    machine.commandInFlight = true;
+    fleet.reported(report(1, 1, machine.token(), -1), 1_000_000);
+    assertEquals(attempt, job.active.get(0));
+    machine.commandInFlight = false;
+    fleet.reported(report(1, 2, machine.token(), -1), 2_000_000);
+    assertTrue(job.active.isEmpty());
+  }
+
+  /** A command without an answer may arrive minutes later, until the machine has seen a higher fence. */
+  @Example
+  void afterALostCommandOnlyTheRaisedFenceProves() {
+    launched(Attempt.Phase.SENT);
+    long before = machine.token();
+    machine.raiseFence();
+    machine.become(Machine.Phase.FENCING);
+    fleet.reported(report(1, 1, before, -1), 1_000_000);
+    assertEquals(attempt, job.active.get(0));
+    fleet.reported(report(1, 2, machine.token(), -1), 2_000_000);
+    assertTrue(job.active.isEmpty());
+    assertEquals(Machine.Phase.HEARD, machine.phase);
+  }
+
+  @Example
+  void anOlderReportThatComesLateChangesNothing() {
+    launched(Attempt.Phase.SEEN);
+    fleet.reported(report(1, 9, machine.token(), -1, new Entry(task, 77, TaskState.RUNNING, Exit.NONE, false)), 1);
+    fleet.reported(report(1, 8, machine.token(), -1), 2);
+    assertEquals(attempt, job.active.get(0));
+  }
+
+  @Example
+  void aNoticeTellsTasksWithCheckpointsToSaveInTime() {
+    launched(Attempt.Phase.SEEN);
+    Entry running = new Entry(task, 77, TaskState.RUNNING, Exit.NONE, false);
+    Answer answer = fleet.reported(report(1, 1, machine.token(), 12_000_000, running), 1_000_000);
+    assertEquals(List.of(new Order.Kill(task, 77, 4_000_000)), ((Answer.Command) answer).orders());
+    assertEquals(Machine.Plan.DRAIN, machine.plan);
+  }
+
+  @Example
+  void aNewSessionFreesEverything() {
+    launched(Attempt.Phase.SEEN);
+    fleet.reported(report(2, 1, machine.token(), -1), 30_000_000);
+    assertTrue(job.active.isEmpty());
+  }
+}
