--- a/src/main/java/org/eiderstair/cli/Main.java
+++ b/src/main/java/org/eiderstair/cli/Main.java
@@ -1,70 +1,147 @@
 package org.eiderstair.cli;
 
 import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
 import java.util.Locale;
-import java.util.concurrent.Callable;
+import java.util.Map;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.HelpFormatter;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
 import org.eiderstair.config.BadConfig;
 import org.eiderstair.config.NodeConfig;
+import org.eiderstair.config.OperatorFile;
 import org.eiderstair.config.PlatformFile;
-import org.eiderstair.core.Settings;
 import org.eiderstair.node.Node;
-import picocli.CommandLine;
-import picocli.CommandLine.Command;
-import picocli.CommandLine.Option;
 
 /** The command line. */
-@Command(name = "eiderstair", mixinStandardHelpOptions = true, version = "eiderstair 0.1.0",
-    description = "A cluster scheduler.", subcommands = {Main.Serve.class, Main.Check.class, Rehearse.class})
 public final class Main {
+  /** Not from the jar's manifest: reading that would open it once more at each start. */
+  static final String VERSION = "0.1.0";
+
+  private static final Map<String, String> COMMANDS = Map.of(
+      "serve", "run a controller until it is killed",
+      "check", "check settings and exit",
+      "submit", "submit the job described in a JSON file",
+      "show", "show a job",
+      "cancel", "cancel a job",
+      "rehearse", "used by the build: record the classes of a start");
+
   private Main() {}
 
   public static void main(String[] args) {
     setUpLogging();
-    CommandLine line = new CommandLine(new Main());
-    line.setExecutionExceptionHandler((e, cmd, parsed) -> {
-      cmd.getErr().println("eiderstair: " + (e instanceof BadConfig ? e.getMessage() : e.toString()));
-      return 1;
-    });
-    int code = line.execute(args);
-    if (code != 0 || args.length == 0 || !args[0].equals("serve")) {
-      System.exit(code);
+    int code;
+    try {
+      code = run(args);
+    } catch (BadConfig | ParseException | Usage e) {
+      System.err.println("eiderstair: " + e.getMessage());
+      code = 2;
+    } catch (Exception e) {
+      System.err.println("eiderstair: " + e);
+      code = 1;
     }
+    System.exit(code);
   }
 
-  private static void setUpLogging() {
-    String level = System.getenv().getOrDefault("LOG_LEVEL", "info").toLowerCase(Locale.ROOT);
-    System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", "error");
-    System.setProperty("org.slf4j.simpleLogger.log.eiderstair", level);
-    System.setProperty("org.slf4j.simpleLogger.showDateTime", "true");
-    System.setProperty("org.slf4j.simpleLogger.dateTimeFormat", "yyyy-MM-dd'T'HH:mm:ss.SSS");
-    System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
-  }
+  /** Arguments that cannot be used. */
+  static final class Usage extends Exception {
+    private static final long serialVersionUID = 1L;
 
-  /** Runs a controller until it is killed. */
-  @Command(name = "serve", mixinStandardHelpOptions = true, description = "Run a controller.")
-  static final class Serve implements Callable<Integer> {
-    @Option(names = "--config", required = true, paramLabel = "FILE", description = "The platform's settings (TOML).")
-    Path config;
+    Usage(String message) {
+      super(message);
+    }
+  }
 
-    @Override
-    public Integer call() throws Exception {
-      Node node = new Node(PlatformFile.read(config, Settings.Tuning.defaults()));
-      node.join();
+  private static int run(String[] args) throws Exception {
+    if (args.length == 0 || args[0].equals("--help") || args[0].equals("-h")) {
+      help();
+      return args.length == 0 ? 2 : 0;
+    }
+    if (args[0].equals("--version")) {
+      System.out.println("eiderstair " + VERSION);
       return 0;
     }
+    String[] rest = Arrays.copyOfRange(args, 1, args.length);
+    switch (args[0]) {
+      case "serve":
+        new Node(settings(rest)).join();
+        return 0;
+      case "check":
+        System.out.println("settings of " + settings(rest).settings().node() + " are good");
+        return 0;
+      case "submit":
+      case "show":
+      case "cancel":
+        return user(args[0], rest);
+      case "rehearse":
+        Rehearsal.run();
+        return 0;
+      default:
+        throw new Usage("unknown command " + args[0] + "; see --help");
+    }
   }
 
-  /** Says whether settings can be used. */
-  @Command(name = "check", mixinStandardHelpOptions = true, description = "Check settings and exit.")
-  static final class Check implements Callable<Integer> {
-    @Option(names = "--config", required = true, paramLabel = "FILE", description = "The platform's settings (TOML).")
-    Path config;
+  private static void help() {
+    System.out.println("usage: eiderstair COMMAND [options]\n");
+    COMMANDS.entrySet().stream().sorted(Map.Entry.comparingByKey())
+        .forEach(c -> System.out.printf("  %-10s%s%n", c.getKey(), c.getValue()));
+    System.out.println();
+    HelpFormatter formatter = new HelpFormatter();
+    formatter.printHelp("serve | check", serveOptions());
+    formatter.printHelp("submit FILE | show ID | cancel ID", userOptions());
+  }
 
-    @Override
-    public Integer call() throws Exception {
-      NodeConfig read = PlatformFile.read(config, Settings.Tuning.defaults());
-      System.out.println("settings of " + read.settings().node() + " are good");
-      return 0;
+  private static Options serveOptions() {
+    Options options = new Options();
+    options.addOption(Option.builder().longOpt("config").hasArg().argName("FILE").required()
+        .desc("the platform's settings (TOML)").build());
+    options.addOption(Option.builder().longOpt("operator-config").hasArg().argName("FILE")
+        .desc("the operators' own settings (HCL)").build());
+    return options;
+  }
+
+  private static Options userOptions() {
+    Options options = new Options();
+    options.addOption(Option.builder().longOpt("node").hasArg().argName("HOST:PORT").required()
+        .desc("a controller, or what stands before them").build());
+    return options;
+  }
+
+  private static NodeConfig settings(String[] args) throws Exception {
+    CommandLine line = new DefaultParser().parse(serveOptions(), args);
+    if (!line.getArgList().isEmpty()) {
+      throw new Usage("unexpected argument " + line.getArgList().get(0));
+    }
+    String operators = line.getOptionValue("operator-config");
+    return PlatformFile.read(Path.of(line.getOptionValue("config")),
+        operators == null ? OperatorFile.DEFAULTS : OperatorFile.read(Path.of(operators)));
+  }
+
+  private static int user(String command, String[] args) throws Exception {
+    CommandLine line = new DefaultParser().parse(userOptions(), args);
+    List<String> names = line.getArgList();
+    if (names.size() != 1) {
+      throw new Usage(command + " takes one " + (command.equals("submit") ? "file" : "job id"));
     }
+    try (UserClient client = new UserClient(line.getOptionValue("node"))) {
+      return switch (command) {
+        case "submit" -> client.submit(Path.of(names.get(0)));
+        case "show" -> client.show(names.get(0));
+        default -> client.cancel(names.get(0));
+      };
+    }
+  }
+
+  private static void setUpLogging() {
+    String level = System.getenv().getOrDefault("LOG_LEVEL", "info").toLowerCase(Locale.ROOT);
+    System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", "error");
+    System.setProperty("org.slf4j.simpleLogger.log.eiderstair", level);
+    System.setProperty("org.slf4j.simpleLogger.showDateTime", "true");
+    System.setProperty("org.slf4j.simpleLogger.dateTimeFormat", "yyyy-MM-dd'T'HH:mm:ss.SSS");
+    System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
   }
 }
--- /dev/null
+++ b/src/main/java/org/eiderstair/cli/UserClient.java
@@ -0,0 +1,53 @@
+package org.eiderstair.cli;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.http.HttpMethod;
+import org.eiderstair.protocol.Pack;
+
+/** The commands for users: one request each, its answer printed as JSON. */
+final class UserClient implements AutoCloseable {
+  private static final long TIMEOUT_S = 5;
+
+  private final HttpClient http = new HttpClient();
+  private final String base;
+
+  UserClient(String address) throws Exception {
+    base = "http://" + address;
+    http.start();
+  }
+
+  int submit(Path file) throws Exception {
+    Map<String, Object> job = new ObjectMapper().readValue(Files.readString(file), new TypeReference<>() { });
+    return send(http.newRequest(base + "/work").method(HttpMethod.POST)
+        .body(new BytesRequestContent("application/msgpack", Pack.write(job))));
+  }
+
+  int show(String id) throws Exception {
+    return send(http.newRequest(base + "/work/" + id));
+  }
+
+  int cancel(String id) throws Exception {
+    return send(http.newRequest(base + "/work/" + id + "/cancel").method(HttpMethod.POST));
+  }
+
+  private int send(Request request) throws Exception {
+    ContentResponse response = request.timeout(TIMEOUT_S, TimeUnit.SECONDS).send();
+    System.out.println(response.getStatus() + " " + new ObjectMapper().writeValueAsString(
+        Pack.readMap(response.getContent())));
+    return response.getStatus() < 300 ? 0 : 1;
+  }
+
+  @Override
+  public void close() throws Exception {
+    http.stop();
+  }
+}
--- a/src/main/java/org/eiderstair/config/PlatformFile.java
+++ b/src/main/java/org/eiderstair/config/PlatformFile.java
@@ -1,8 +1,13 @@
 package org.eiderstair.config;
 
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.toml.TomlFactory;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -18,8 +23,8 @@
 
   public static NodeConfig read(Path file, Settings.Tuning tuning) throws BadConfig {
     JsonNode root;
-    try {
-      root = new TomlMapper().readTree(Files.readString(file));
+    try (JsonParser parser = new TomlFactory().createParser(Files.readString(file))) {
+      root = tree(parser);
     } catch (JsonProcessingException e) {
       throw new BadConfig(file + ": not TOML: " + e.getOriginalMessage());
     } catch (IOException e) {
@@ -61,6 +66,40 @@
         resources.path("max_connections").asInt(0));
   }
 
+  /** The library's parser has the whole tree already; a mapper would only be set up to hand it over. */
+  private static JsonNode tree(JsonParser parser) throws IOException {
+    parser.nextToken();
+    return node(parser);
+  }
+
+  private static JsonNode node(JsonParser parser) throws IOException {
+    JsonNodeFactory make = JsonNodeFactory.instance;
+    switch (parser.currentToken()) {
+      case START_OBJECT:
+        ObjectNode table = make.objectNode();
+        while (parser.nextToken() != JsonToken.END_OBJECT) {
+          String name = parser.currentName();
+          parser.nextToken();
+          table.set(name, node(parser));
+        }
+        return table;
+      case START_ARRAY:
+        ArrayNode list = make.arrayNode();
+        while (parser.nextToken() != JsonToken.END_ARRAY) {
+          list.add(node(parser));
+        }
+        return list;
+      case VALUE_NUMBER_INT:
+      case VALUE_NUMBER_FLOAT:
+        return make.numberNode(parser.getDoubleValue());
+      case VALUE_TRUE:
+      case VALUE_FALSE:
+        return make.booleanNode(parser.getBooleanValue());
+      default:
+        return make.textNode(parser.getText());
+    }
+  }
+
   private static Map<String, Settings.Team> teams(JsonNode settings) throws BadConfig {
     Map<String, Settings.Team> teams = new LinkedHashMap<>();
     for (JsonNode t : settings.path("teams")) {
--- a/src/main/java/org/eiderstair/core/TaskId.java
+++ b/src/main/java/org/eiderstair/core/TaskId.java
@@ -2,6 +2,17 @@
 
 /** A task of a job, by its number. */
 public record TaskId(String job, int index) {
+  // Written out: the ones a record makes are linked at run time, and this is the busiest key of all.
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof TaskId that && index == that.index && job.equals(that.job);
+  }
+
+  @Override
+  public int hashCode() {
+    return job.hashCode() * 31 + index;
+  }
+
   @Override
   public String toString() {
     return job + "/" + index;
--- a/src/main/java/org/eiderstair/http/Outbound.java
+++ b/src/main/java/org/eiderstair/http/Outbound.java
@@ -15,6 +15,7 @@
 import org.eclipse.jetty.io.ArrayByteBufferPool;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.SocketAddressResolver;
+import org.eclipse.jetty.util.ssl.SslContextFactory;
 import org.eclipse.jetty.util.thread.Scheduler;
 import org.eiderstair.core.Reply;
 import org.eiderstair.core.Request;
@@ -39,6 +40,14 @@
     Reply read(Map<String, Object> message) throws Malformed;
   }
 
+  /** Everything here speaks plain HTTP: reading the system's certificates would cost a good part of a start. */
+  private static final class NoTls extends SslContextFactory.Client {
+    @Override
+    protected void doStart() {
+      // Nothing to load.
+    }
+  }
+
   private record Target(String host, int port) {
     static Target of(String address) {
       int colon = address.lastIndexOf(':');
@@ -61,6 +70,7 @@
     connector.setExecutor(executor);
     connector.setScheduler(scheduler);
     connector.setByteBufferPool(buffers);
+    connector.setSslContextFactory(new NoTls());
     client = new HttpClient(new HttpClientTransportOverHTTP(connector));
     client.setExecutor(executor);
     client.setScheduler(scheduler);
--- a/src/main/java/org/eiderstair/node/Node.java
+++ b/src/main/java/org/eiderstair/node/Node.java
@@ -1,6 +1,5 @@
 package org.eiderstair.node;
 
-import java.security.SecureRandom;
 import org.apache.commons.rng.core.source64.XoRoShiRo128PlusPlus;
 import org.eclipse.jetty.io.ArrayByteBufferPool;
 import org.eclipse.jetty.server.HttpConfiguration;
@@ -53,9 +52,11 @@
 
     outbound = new Outbound(config.stateAddress(), config.cloudAddress(), threads, scheduler, buffers,
         (call, reply) -> loop.offer(new Event.Replied(call, reply)));
-    SecureRandom seeds = new SecureRandom();
-    String incarnation = Long.toHexString(seeds.nextLong());
-    var random = new XoRoShiRo128PlusPlus(seeds.nextLong(), seeds.nextLong() | 1);
+    // Runs of one node differ in their time or their process; nothing here needs to be hard to guess.
+    long time = System.currentTimeMillis();
+    long process = ProcessHandle.current().pid();
+    String incarnation = Long.toHexString(time) + "-" + process + "-" + Long.toHexString(System.nanoTime());
+    var random = new XoRoShiRo128PlusPlus(time ^ config.settings().node().hashCode(), System.nanoTime() ^ process | 1);
     Core core = new Core(config.settings(), incarnation, random::nextInt, loop::effect);
     loop.attach(core, effect -> {
       if (effect instanceof Effect.Call call) {
