--- a/src/main/java/org/eiderstair/core/Core.java
+++ b/src/main/java/org/eiderstair/core/Core.java
@@ -8,6 +8,8 @@
  * the same events, times and random numbers it does the same again.
  */
 public final class Core implements Replica.Listener, Leadership.Listener {
+  private static final long LONGEST_TICK_MICROS = 50_000;
+
   private final Settings settings;
   private final Ports ports;
   private final IntUnaryOperator random;
@@ -32,7 +34,14 @@
     this.leadership = new Leadership(settings, ports, replica, incarnation, this);
   }
 
+  /** One event, and what time has made due. */
   public void handle(Event event, long nowMicros) {
+    take(event, nowMicros);
+    tick(nowMicros);
+  }
+
+  /** One event of several at hand: what is decided for all of them together waits for {@link #tick}. */
+  public void take(Event event, long nowMicros) {
     now = nowMicros;
     replica.at(now);
     if (event instanceof Event.Replied replied) {
@@ -48,10 +57,20 @@
     } else if (event instanceof Event.ReadyProbe probe) {
       ports.respond(probe.exchange(), new Answer.Ready(replica.loaded()));
     }
-    tick();
   }
 
-  private void tick() {
+  /** When the next tick is needed at the latest, if nothing happens before. */
+  public long dueMicros() {
+    long due = now + LONGEST_TICK_MICROS;
+    if (scheduler != null) {
+      due = Math.min(due, scheduler.passDueMicros());
+    }
+    return Math.min(due, desk.dueMicros());
+  }
+
+  public void tick(long nowMicros) {
+    now = nowMicros;
+    replica.at(now);
     replica.tick(now);
     leadership.tick(now);
     desk.tick(now);
@@ -62,7 +81,7 @@
 
   private void reported(Event.Reported event) {
     if (scheduler != null && leadership.inOffice()) {
-      ports.respond(event.exchange(), scheduler.reported(event.report(), now));
+      scheduler.reported(event.exchange(), event.report(), now);
       return;
     }
     Replica.Leader leader = replica.leader();
--- a/src/main/java/org/eiderstair/core/Desk.java
+++ b/src/main/java/org/eiderstair/core/Desk.java
@@ -176,6 +176,11 @@
     tick(now);
   }
 
+  /** When the next gathered question may be put; far away when there is none. */
+  long dueMicros() {
+    return confirming || waiting.isEmpty() ? Long.MAX_VALUE : nextConfirmMicros;
+  }
+
   void tick(long nowMicros) {
     now = nowMicros;
     if (confirming || waiting.isEmpty() || now < nextConfirmMicros) {
--- a/src/main/java/org/eiderstair/core/Fleet.java
+++ b/src/main/java/org/eiderstair/core/Fleet.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -14,6 +15,8 @@
  */
 final class Fleet {
   private static final long ASK_AGAIN_MICROS = 1_500_000;
+  private static final long ASKING_EVERY_MICROS = 20_000;
+  private static final int MOST_ASKS = 24;
   private static final long LEASE_MARGIN_MICROS = 1_500_000;
   private static final long OUT_OF_REACH_MICROS = 2_500_000;
   private static final long SAVE_MARGIN_MICROS = 1_500_000;
@@ -27,30 +30,52 @@
   private final Leadership leadership;
   private final Ledger ledger;
   private final TokenList tokens;
+  private final Teams teams;
   private final long term;
   private long attempts;
   private boolean closed;
   private long now;
 
   final Map<String, Machine> machines = new LinkedHashMap<>();
+  // One report must cost one machine: what the fleet as a whole needs is kept in these as machines change.
+  private final Set<Machine> unheard = new LinkedHashSet<>();
+  private final Set<Machine> fencing = new LinkedHashSet<>();
+  /** Machines that have shown our token, the one answered longest ago first: their leases end in this order. */
+  private final Set<Machine> leased = new LinkedHashSet<>();
+  /** Machines with something to send, and those whose report waits for its answer. */
+  private final Set<Machine> toSend = new LinkedHashSet<>();
+  private final Set<Machine> toAnswer = new LinkedHashSet<>();
+  /** Machines with waiting attempts that may have got room. */
+  final Set<Machine> toServe = new LinkedHashSet<>();
+  /** Machines that may take one more into their queue. */
+  final List<Machine> shortQueues = new ArrayList<>();
+  private int asksInFlight;
+  private long nextAskingMicros;
   /** Deleted by this term: a late report or list must not bring one back. */
   final Set<String> gone = new HashSet<>();
   /** Set whenever something changed that may let a task be placed. */
   boolean changed = true;
 
   Fleet(Settings settings, Ports ports, Replica replica, Leadership leadership, Ledger ledger, TokenList tokens,
-      long term) {
+      Teams teams, long term) {
     this.settings = settings;
     this.ports = ports;
     this.replica = replica;
     this.leadership = leadership;
     this.ledger = ledger;
     this.tokens = tokens;
+    this.teams = teams;
     this.term = term;
   }
 
+  /** Reports that were still to be answered go elsewhere: this node may not renew their leases any more. */
   void close() {
     closed = true;
+    for (Machine m : toAnswer) {
+      ports.respond(m.exchange, new Answer.Redirect(null));
+      m.exchange = 0;
+    }
+    toAnswer.clear();
   }
 
   /** Take-over: everything rostered may hold work of earlier terms until it has been heard. */
@@ -60,15 +85,68 @@
       Machine m = new Machine(entry.machine(), term, Machine.Phase.UNHEARD, now);
       describe(m, entry.address(), entry.type(), entry.zone(), entry.spot());
       m.rostered = true;
-      machines.put(m.id, m);
-      ask(m);
+      add(m);
+    }
+  }
+
+  /** A machine comes into the picture. */
+  void add(Machine m) {
+    machines.put(m.id, m);
+    enter(m);
+  }
+
+  /** The one function for a change of a machine's phase: the sets above follow it. */
+  private void become(Machine m, Machine.Phase next) {
+    unheard.remove(m);
+    fencing.remove(m);
+    leased.remove(m);
+    m.phase = next;
+    enter(m);
+  }
+
+  private void enter(Machine m) {
+    switch (m.phase) {
+      case UNHEARD -> unheard.add(m);
+      case FENCING -> {
+        fencing.add(m);
+        leased.add(m);
+      }
+      case HEARD -> leased.add(m);
+      case BOOTING, LOST, GONE -> { }
+    }
+    updateShortQueue(m);
+  }
+
+  private void answered(Machine m) {
+    m.answeredMicros = now;
+    if (leased.remove(m)) {
+      leased.add(m);
+    }
+  }
+
+  private void updateShortQueue(Machine m) {
+    boolean open = m.phase == Machine.Phase.HEARD && m.plan == Machine.Plan.USE && m.rostered && m.type != null
+        && m.queue.size() < settings.tuning().machineQueue();
+    if (open == m.shortQueueIndex >= 0) {
+      return;
+    }
+    if (open) {
+      m.shortQueueIndex = shortQueues.size();
+      shortQueues.add(m);
+    } else {
+      Machine last = shortQueues.remove(shortQueues.size() - 1);
+      if (last != m) {
+        shortQueues.set(m.shortQueueIndex, last);
+        last.shortQueueIndex = m.shortQueueIndex;
+      }
+      m.shortQueueIndex = -1;
     }
   }
 
   Machine expect(String id, String address, String type, String zone, boolean spot) {
     Machine m = new Machine(id, term, Machine.Phase.BOOTING, now);
     describe(m, address, type, zone, spot);
-    machines.put(id, m);
+    add(m);
     return m;
   }
 
@@ -89,33 +167,37 @@
   }
 
   void typesChanged() {
-    machines.values().forEach(this::resolveType);
+    for (Machine m : machines.values()) {
+      resolveType(m);
+      m.measureRoom();
+      updateShortQueue(m);
+    }
     changed = true;
   }
 
-  /** Whether older jobs' unseen tasks may still be on a machine that has not been heard. */
-  boolean anyUnheard() {
-    for (Machine m : machines.values()) {
-      if (m.phase == Machine.Phase.UNHEARD) {
-        return true;
-      }
-    }
-    return false;
+  /** Machines that may hold work of earlier terms, since they have not been heard. */
+  Set<Machine> unheard() {
+    return unheard;
   }
 
   long nextAttempt() {
     return Math.addExact(Math.multiplyExact(term, 1L << 31), ++attempts);
   }
 
-  /** A worker's report; the answer renews its lease and carries what it must stop or forget. */
-  Answer reported(MachineReport report, long nowMicros) {
+  /**
+   * A worker's report. Its answer renews the lease and carries what the machine must stop, forget and, decided in the
+   * next pass, launch; so a machine whose task ended gets its next one without another message.
+   */
+  void reported(long exchange, MachineReport report, long nowMicros) {
     now = nowMicros;
     if (report.token() >> 20 > term) {
+      ports.respond(exchange, new Answer.Redirect(null));
       leadership.deposed("machine " + report.machine() + " has seen token " + report.token());
-      return new Answer.Redirect(null);
+      return;
     }
     if (gone.contains(report.machine())) {
-      return new Answer.Failure(503, "machine was deleted", 0);
+      ports.respond(exchange, new Answer.Failure(503, "machine was deleted", 0));
+      return;
     }
     Machine m = machines.get(report.machine());
     if (m == null) {
@@ -128,21 +210,35 @@
     if (!m.rostered) {
       ledger.enrol(m);
     }
-    absorb(m, report, !m.commandInFlight);
+    absorb(m, report, true, !m.commandInFlight);
     if (m.session != report.session()) {
-      return new Answer.Failure(503, "report of an earlier session", 0);
+      ports.respond(exchange, new Answer.Failure(503, "report of an earlier session", 0));
+      return;
     }
-    m.answeredMicros = now;
-    List<Order> orders = new ArrayList<>(killsFor(m));
-    orders.addAll(m.reaps.values());
-    return new Answer.Command(m.token(), orders);
+    if (m.exchange != 0) {
+      // A worker has one report in flight: it has given up one of the two.
+      boolean older = report.sequence() < m.exchangeSequence;
+      ports.respond(older ? exchange : m.exchange, new Answer.Failure(503, "a newer report is here", 0));
+      if (older) {
+        return;
+      }
+    }
+    m.exchange = exchange;
+    m.exchangeSequence = report.sequence();
+    toAnswer.add(m);
+  }
+
+  /** Whether reports wait for their answers. */
+  boolean owesAnswers() {
+    return !toAnswer.isEmpty();
   }
 
   /**
    * Takes a machine's account of itself. {@code settles} is false while a command is on its way, since the
-   * account may have been written before that command arrived.
+   * account may have been written before that command arrived. Only a report settles what went with an answer to an
+   * earlier report: the body of /commands or /status may be written while that answer is still on its way.
    */
-  private void absorb(Machine m, MachineReport report, boolean settles) {
+  private void absorb(Machine m, MachineReport report, boolean isReport, boolean settles) {
     if (!report.newerThan(m.session, m.sequence)) {
       return;
     }
@@ -152,7 +248,7 @@
       freeAll(m, "new session");
       // Found by the simulator (a leader cut from its workers): a new session has its full lease from its own
       // beginning, whenever we last answered the session before.
-      m.answeredMicros = now;
+      answered(m);
     }
     m.session = report.session();
     m.sequence = report.sequence();
@@ -163,22 +259,23 @@
     }
     boolean truth = report.token() >= m.token();
     if (truth && m.phase != Machine.Phase.HEARD) {
-      if (m.phase != Machine.Phase.FENCING) {
+      boolean fenced = m.phase == Machine.Phase.FENCING;
+      become(m, Machine.Phase.HEARD);
+      if (!fenced) {
         ports.info("machine " + m.id + " heard, term=" + term);
-        m.answeredMicros = now;
+        answered(m);
         m.idleSinceMicros = now;
       }
-      m.become(Machine.Phase.HEARD);
     }
     if (!truth && (m.phase == Machine.Phase.UNHEARD || m.phase == Machine.Phase.FENCING)) {
       // Older commands may still arrive there; what it shows proves nothing yet.
       return;
     }
-    readEntries(m, report, settles && truth);
+    readEntries(m, report, isReport && truth, settles && truth);
     changed = true;
   }
 
-  private void readEntries(Machine m, MachineReport report, boolean settled) {
+  private void readEntries(Machine m, MachineReport report, boolean settlesAnswers, boolean settlesCommands) {
     m.strays.clear();
     m.reaps.clear();
     Set<TaskId> shown = new HashSet<>();
@@ -191,8 +288,12 @@
       }
     }
     for (Attempt a : new ArrayList<>(m.attempts.values())) {
-      boolean sent = a.phase == Attempt.Phase.SEEN || a.phase == Attempt.Phase.SENT && settled;
-      if (sent && !shown.contains(a.task())) {
+      boolean settled = switch (a.phase) {
+        case QUEUED, PLANNED -> false;
+        case SENT -> a.sentSequence < 0 ? settlesCommands : settlesAnswers && report.sequence() > a.sentSequence;
+        case SEEN -> true;
+      };
+      if (settled && !shown.contains(a.task())) {
         free(a, "not on the machine");
       }
     }
@@ -200,8 +301,16 @@
       m.idleSinceMicros = now;
     }
     m.measureRoom();
-    if (m.hasRoom() && m.plan == Machine.Plan.USE) {
+    roomChanged(m);
+  }
+
+  /** The machine may have got room: it gets its token, and what waits for it its turn. */
+  private void roomChanged(Machine m) {
+    if (m.plan == Machine.Plan.USE && m.phase == Machine.Phase.HEARD && m.hasRoom()) {
       tokens.offer(m);
+      if (!m.queue.isEmpty()) {
+        toServe.add(m);
+      }
     }
   }
 
@@ -243,9 +352,55 @@
     Attempt a = new Attempt(job, entry.task().index(), entry.attempt(), m, Attempt.Phase.SEEN, now);
     a.shown = entry.state();
     a.runningSinceMicros = now;
-    m.attempts.put(entry.task(), a);
     m.images.add(job.spec().image());
-    job.active.put(a.index, a);
+    attach(a);
+  }
+
+  /**
+   * An attempt comes to stand on a machine: the one place where that happens, so that room, team use and queues are
+   * kept by increments. One that only waits at the leader uses nothing yet.
+   */
+  void attach(Attempt a) {
+    a.machine.attempts.put(a.task(), a);
+    a.job.active.put(a.index, a);
+    if (a.phase == Attempt.Phase.QUEUED) {
+      a.machine.queue.add(a);
+      a.job.queued++;
+      updateShortQueue(a.machine);
+    } else {
+      occupy(a);
+    }
+  }
+
+  /** A waiting attempt gets its machine's room, or a new one comes with it. */
+  void occupy(Attempt a) {
+    if (a.phase == Attempt.Phase.QUEUED) {
+      leaveQueue(a);
+      a.phase = Attempt.Phase.PLANNED;
+    }
+    teams.add(a.spec, 1);
+    a.machine.take(a.spec);
+    if (a.phase == Attempt.Phase.PLANNED) {
+      a.machine.images.add(a.spec.image());
+      a.machine.toLaunch.add(a);
+      toSend.add(a.machine);
+    }
+    if (!a.machine.hasRoom()) {
+      tokens.remove(a.machine);
+    }
+  }
+
+  private void leaveQueue(Attempt a) {
+    if (a.machine.queue.remove(a)) {
+      a.job.queued--;
+      updateShortQueue(a.machine);
+    }
+  }
+
+  /** A machine has something to be told to stop. */
+  void killSoon(Machine m) {
+    m.killsPending = true;
+    toSend.add(m);
   }
 
   private void noteRunning(Job job) {
@@ -324,6 +479,7 @@
   void drain(Machine m) {
     m.plan = Machine.Plan.DRAIN;
     unplan(m);
+    updateShortQueue(m);
     changed = true;
   }
 
@@ -332,7 +488,7 @@
     for (Attempt a : m.attempts.values()) {
       if (a.spec != null && a.spec.checkpointEveryMicros() > 0 && a.spec.saveMicros() + SAVE_MARGIN_MICROS <= noticeMicros) {
         a.stop = true;
-        m.killsPending = true;
+        killSoon(m);
       }
     }
   }
@@ -346,10 +502,21 @@
     }
   }
 
+  /** An attempt is gone from its machine: the opposite of {@link #attach}. */
   void remove(Attempt a) {
-    a.machine.attempts.remove(a.task(), a);
-    a.machine.queue.remove(a);
-    a.machine.toLaunch.remove(a);
+    if (!a.machine.attempts.remove(a.task(), a)) {
+      return;
+    }
+    if (a.phase == Attempt.Phase.QUEUED) {
+      leaveQueue(a);
+    } else {
+      teams.add(a.spec, -1);
+      a.machine.give(a.spec);
+      if (a.phase == Attempt.Phase.PLANNED) {
+        a.machine.toLaunch.remove(a);
+      }
+      roomChanged(a.machine);
+    }
     if (a.job.active.get(a.index) == a) {
       a.job.active.remove(a.index);
       a.job.freed(a.index);
@@ -379,9 +546,10 @@
     gone.add(id);
     ledger.strike(id);
     if (m != null) {
-      m.become(Machine.Phase.GONE);
+      become(m, Machine.Phase.GONE);
       tokens.remove(m);
       freeAll(m, "machine deleted");
+      toSend.remove(m);
     }
     changed = true;
   }
@@ -390,25 +558,35 @@
     Machine m = machines.get(id);
     if (m != null) {
       m.rostered = true;
+      updateShortQueue(m);
       changed = true;
     }
   }
 
   void tick(long nowMicros) {
     now = nowMicros;
-    for (Machine m : machines.values()) {
-      boolean asks = m.phase == Machine.Phase.UNHEARD || m.phase == Machine.Phase.FENCING;
-      if (asks && !m.commandInFlight && now >= m.nextAskMicros) {
-        ask(m);
-      }
-      boolean shownOurs = m.phase == Machine.Phase.HEARD || m.phase == Machine.Phase.FENCING;
-      long lease = settings.leaseMicros() + settings.leaseMicros() / 1000 + LEASE_MARGIN_MICROS;
-      if (shownOurs && now > m.answeredMicros + lease) {
-        ports.info("machine " + m.id + " has lost its lease, term=" + term);
-        m.become(Machine.Phase.LOST);
-        tokens.remove(m);
-        freeAll(m, "lease over");
+    long lease = settings.leaseMicros() + settings.leaseMicros() / 1000 + LEASE_MARGIN_MICROS;
+    while (!leased.isEmpty()) {
+      Machine m = leased.iterator().next();
+      if (now <= m.answeredMicros + lease) {
+        break;
       }
+      ports.info("machine " + m.id + " has lost its lease, term=" + term);
+      become(m, Machine.Phase.LOST);
+      tokens.remove(m);
+      freeAll(m, "lease over");
+    }
+    if (now >= nextAskingMicros && !(unheard.isEmpty() && fencing.isEmpty())) {
+      nextAskingMicros = now + ASKING_EVERY_MICROS;
+      fencing.forEach(this::askIfDue);
+      unheard.forEach(this::askIfDue);
+    }
+  }
+
+  /** Only so many at once: a burst of hundreds would hold up the lease's renewal and the users. */
+  private void askIfDue(Machine m) {
+    if (asksInFlight < MOST_ASKS && !m.commandInFlight && now >= m.nextAskMicros) {
+      ask(m);
     }
   }
 
@@ -432,31 +610,17 @@
     return silent >= 3 && silent > heard * 3;
   }
 
-  /** Learns the session, then shows our token with no orders: that fences older commands and reports at once. */
+  /**
+   * Shows our token with no orders: that fences older commands and reports at once. Most machines are in their first
+   * session; one that is not says so in its refusal, and is asked again with what it said.
+   */
   private void ask(Machine m) {
     if (m.address == null || !leadership.mayCommand(now)) {
       return;
     }
-    m.commandInFlight = true;
     m.nextAskMicros = now + ASK_AGAIN_MICROS;
-    if (m.session > 0) {
-      command(m, List.of());
-      return;
-    }
-    ports.call(new Request.WorkerStatus(m.address), reply -> {
-      m.commandInFlight = false;
-      if (closed || !(reply instanceof Reply.Report status) || !status.report().machine().equals(m.id)) {
-        return;
-      }
-      if (status.report().newerThan(m.session, m.sequence)) {
-        m.session = status.report().session();
-        m.sequence = status.report().sequence();
-      }
-      if (leadership.mayCommand(now) && m.phase != Machine.Phase.GONE) {
-        m.commandInFlight = true;
-        command(m, List.of());
-      }
-    });
+    asksInFlight++;
+    command(m, Math.max(1, m.session), List.of(), () -> asksInFlight--);
   }
 
   private List<Order> killsFor(Machine m) {
@@ -477,52 +641,85 @@
       if (a.phase == Attempt.Phase.QUEUED || a.phase == Attempt.Phase.PLANNED) {
         remove(a);
       } else {
-        a.machine.killsPending = true;
+        killSoon(a.machine);
       }
     }
     changed = true;
   }
 
-  /** Sends each machine what was decided, one command at a time and only while this node may. */
+  /** Tells each machine what was decided: in the answer to its report, else by one command at a time. */
   void flush(long nowMicros) {
     now = nowMicros;
-    for (Machine m : machines.values()) {
-      if (m.commandInFlight || m.phase != Machine.Phase.HEARD || m.toLaunch.isEmpty() && !m.killsPending
-          || !leadership.mayCommand(now)) {
-        continue;
-      }
-      List<Order> orders = new ArrayList<>(m.reaps.values());
-      if (m.killsPending) {
-        orders.addAll(killsFor(m));
-        m.killsPending = false;
-      }
-      for (Iterator<Attempt> it = m.toLaunch.iterator(); it.hasNext(); ) {
-        Attempt a = it.next();
+    boolean may = leadership.mayCommand(now);
+    for (Machine m : toAnswer) {
+      answer(m, may);
+    }
+    toAnswer.clear();
+    for (Iterator<Machine> it = toSend.iterator(); it.hasNext(); ) {
+      Machine m = it.next();
+      if (m.toLaunch.isEmpty() && !m.killsPending) {
         it.remove();
-        a.phase = Attempt.Phase.SENT;
-        a.sinceMicros = now;
-        orders.add(new Order.Launch(a.task(), a.number));
-        ports.debug("launch " + a.task() + " attempt " + a.number + " on " + m.id + ", term=" + term);
-      }
-      if (!orders.isEmpty()) {
-        m.commandInFlight = true;
-        command(m, orders);
+      } else if (!m.commandInFlight && m.phase == Machine.Phase.HEARD && may) {
+        it.remove();
+        send(m);
       }
     }
   }
 
-  private void command(Machine m, List<Order> orders) {
-    ports.call(new Request.WorkerCommands(m.address, m.token(), m.session, orders), reply -> {
+  private void answer(Machine m, boolean may) {
+    List<Order> orders = killsFor(m);
+    orders.addAll(m.reaps.values());
+    if (may && m.phase == Machine.Phase.HEARD) {
+      launch(m, m.exchangeSequence, orders);
+    }
+    answered(m);
+    m.killsPending = false;
+    ports.respond(m.exchange, new Answer.Command(m.token(), orders));
+    m.exchange = 0;
+  }
+
+  private void send(Machine m) {
+    List<Order> orders = new ArrayList<>(m.reaps.values());
+    if (m.killsPending) {
+      orders.addAll(killsFor(m));
+      m.killsPending = false;
+    }
+    launch(m, -1, orders);
+    if (!orders.isEmpty()) {
+      command(m, m.session, orders, () -> { });
+    }
+  }
+
+  private void launch(Machine m, long sequence, List<Order> orders) {
+    for (Attempt a : m.toLaunch) {
+      a.phase = Attempt.Phase.SENT;
+      a.sentSequence = sequence;
+      a.sinceMicros = now;
+      orders.add(new Order.Launch(a.task(), a.number));
+    }
+    m.toLaunch.clear();
+  }
+
+  private void command(Machine m, long session, List<Order> orders, Runnable over) {
+    m.commandInFlight = true;
+    ports.call(new Request.WorkerCommands(m.address, m.token(), session, orders), reply -> {
       m.commandInFlight = false;
+      over.run();
       if (closed || m.phase == Machine.Phase.GONE) {
         return;
       }
+      if (!m.toLaunch.isEmpty() || m.killsPending) {
+        toSend.add(m);
+      }
       if (reply instanceof Reply.Report answer && answer.report().machine().equals(m.id)) {
         if (answer.report().token() >> 20 > term) {
           leadership.deposed("machine " + m.id + " has seen token " + answer.report().token());
           return;
         }
-        absorb(m, answer.report(), true);
+        absorb(m, answer.report(), false, true);
+        if (!answer.executed()) {
+          m.nextAskMicros = now;
+        }
         return;
       }
       // The command may still arrive, minutes later: kill it with a higher token before anything is concluded.
@@ -530,13 +727,15 @@
       if (launched && m.phase == Machine.Phase.HEARD) {
         ports.info("no answer from " + m.id + " to a command: raising its fence, term=" + term + ": " + reply);
         m.raiseFence();
-        m.become(Machine.Phase.FENCING);
+        become(m, Machine.Phase.FENCING);
         tokens.remove(m);
         m.nextAskMicros = now + 500_000;
         // It may be out of this node's reach while its reports still come, relayed: no more launches for a while.
         m.holdUntilMicros = now + UNREACHED_MICROS;
       }
-      m.killsPending |= !orders.isEmpty() && !launched;
+      if (!orders.isEmpty() && !launched) {
+        killSoon(m);
+      }
       m.nextAskMicros = Math.max(m.nextAskMicros, now + 300_000);
     });
   }
--- a/src/main/java/org/eiderstair/core/Job.java
+++ b/src/main/java/org/eiderstair/core/Job.java
@@ -35,8 +35,10 @@
   /** Tasks seen done, whether durable or not. */
   BitSet done = new BitSet();
   final Map<Integer, Attempt> active = new HashMap<>();
-  boolean progressDirty;
+  /** How many of those wait at the leader for a machine's room. */
+  int queued;
   long seenMicros;
+  long cancelSeenMicros;
   /** Machines on which a task failed since the last success; each one more makes the next pause longer. */
   final Set<String> failedOn = new HashSet<>();
   /** When work of others was last stopped for this job: what that frees must first have had time to arrive. */
@@ -84,7 +86,6 @@
       finalDone = next == State.DONE ? taskCount : Math.max(doneCount, durable.cardinality());
       durable = new BitSet();
       shownRunning = 0;
-      progressDirty = false;
     }
   }
 
@@ -123,7 +124,7 @@
     active.clear();
     done = (BitSet) durable.clone();
     firstFree = 0;
-    progressDirty = false;
+    queued = 0;
     failedOn.clear();
     failedRounds = 0;
     notBeforeMicros = 0;
@@ -144,12 +145,7 @@
   }
 
   boolean hasQueued() {
-    for (Attempt a : active.values()) {
-      if (a.phase == Attempt.Phase.QUEUED) {
-        return true;
-      }
-    }
-    return false;
+    return queued > 0;
   }
 
   int waiting() {
--- a/src/main/java/org/eiderstair/core/Ledger.java
+++ b/src/main/java/org/eiderstair/core/Ledger.java
@@ -13,6 +13,8 @@
  */
 final class Ledger {
   private static final long PROGRESS_EVERY_MICROS = 500_000;
+  /** Changes that come close together go in one transaction: single ones would spend the requests, and the processor. */
+  private static final long GATHER_MICROS = 60_000;
   private static final long RETRY_MICROS = 500_000;
   private static final int TXN_BYTES = 40_000;
 
@@ -89,6 +91,7 @@
     List<Request.Write> changes = new ArrayList<>();
     List<Runnable> after = new ArrayList<>();
     conditions.add(new Request.Condition(Records.LEADER, term));
+    notBeforeMicros = now + GATHER_MICROS;
     int room = (int) Math.min(settings.stateTxnOps(), writes.available(now));
     room = addFinished(room, conditions, changes, after);
     room = addRoster(room, conditions, changes, after);
--- a/src/main/java/org/eiderstair/core/Machine.java
+++ b/src/main/java/org/eiderstair/core/Machine.java
@@ -59,7 +59,16 @@
   boolean rostered;
   /** More than the demand asks for: used last, so that it falls idle and can be returned. */
   boolean surplus;
-  boolean deleteInFlight;
+  /** The exchange of a report that has not been answered yet; 0 when there is none. */
+  long exchange;
+  /** The sequence of that report: what its answer launches is settled by a later report only. */
+  long exchangeSequence;
+  /** The sequence of the newest report, as opposed to what /commands and /status told. */
+  long reportSequence;
+  /** Where its token stands in the list; -1 when it has none. */
+  int tokenIndex = -1;
+  /** Where it stands among the machines with a short queue; -1 when it is not among them. */
+  int shortQueueIndex = -1;
   int errorsInRow;
   final Set<String> failedJobs = new HashSet<>();
 
@@ -81,11 +90,6 @@
     fence++;
   }
 
-  /** The one function for a change of phase. */
-  void become(Phase next) {
-    phase = next;
-  }
-
   boolean usable(long nowMicros) {
     return phase == Phase.HEARD && plan == Plan.USE && rostered && type != null && nowMicros >= holdUntilMicros;
   }
@@ -94,27 +98,16 @@
   private double freeAccelerators;
   private double freeMemory;
 
-  /** Works out the room that is left beside everything that may be here; none while something unknown is. */
+  /** Works out the room that is left beside everything that may be here. */
   void measureRoom() {
     freeCpus = type == null ? 0 : type.cpus();
     freeAccelerators = type == null ? 0 : type.accelerators();
     freeMemory = type == null ? 0 : type.memoryGb();
-    boolean unknown = !strays.isEmpty();
     for (Attempt a : attempts.values()) {
-      if (a.phase == Attempt.Phase.QUEUED) {
-        continue;
-      }
-      if (a.spec == null) {
-        unknown = true;
-      } else {
+      if (a.phase != Attempt.Phase.QUEUED) {
         take(a.spec);
       }
     }
-    if (unknown) {
-      freeCpus = 0;
-      freeAccelerators = 0;
-      freeMemory = 0;
-    }
   }
 
   void take(JobSpec spec) {
@@ -123,8 +116,15 @@
     freeMemory -= spec.memoryGb();
   }
 
+  void give(JobSpec spec) {
+    freeCpus += spec.cpus();
+    freeAccelerators += spec.accelerators();
+    freeMemory += spec.memoryGb();
+  }
+
+  /** None does while something unknown is here, since nobody knows what room that takes. */
   boolean fits(JobSpec spec) {
-    return spec.cpus() <= freeCpus + 1e-6 && spec.accelerators() <= freeAccelerators + 1e-6
+    return strays.isEmpty() && spec.cpus() <= freeCpus + 1e-6 && spec.accelerators() <= freeAccelerators + 1e-6
         && spec.memoryGb() <= freeMemory + 1e-6;
   }
 
@@ -141,7 +141,7 @@
   }
 
   boolean hasRoom() {
-    return freeCpus > 1e-6 && freeMemory > 1e-6;
+    return strays.isEmpty() && freeCpus > 1e-6 && freeMemory > 1e-6;
   }
 
   boolean allows(JobSpec spec) {
--- a/src/main/java/org/eiderstair/core/Placement.java
+++ b/src/main/java/org/eiderstair/core/Placement.java
@@ -17,6 +17,10 @@
  */
 final class Placement {
   private static final int MOST_KILLS = 8;
+  private static final int QUEUE_PROBES = 8;
+  private static final int LIKINGS = 16;
+  private static final long GUARANTEED_EVERY_MICROS = 500_000;
+  private static final long CANCEL_MARGIN_MICROS = 5_000_000;
   private static final long PREEMPT_AGAIN_MICROS = 30_000_000;
   private static final long PREEMPT_AFTER_MICROS = 60_000_000;
 
@@ -25,12 +29,17 @@
   private final Replica replica;
   private final Fleet fleet;
   private final TokenList tokens;
+  private final Teams teams;
   private final long term;
   private final Demand demand;
   private final IntUnaryOperator random;
-  private Teams teams;
+  private Set<Job> guaranteed = new HashSet<>();
+  private long nextGuaranteedMicros;
+  /** What found no token in this pass; room only shrinks in a pass, so its like need not be tried again in it. */
+  private final List<JobSpec> unplaceable = new ArrayList<>();
+  private long steps;
 
-  Placement(Settings settings, Ports ports, Replica replica, Fleet fleet, TokenList tokens, long term,
+  Placement(Settings settings, Ports ports, Replica replica, Fleet fleet, TokenList tokens, Teams teams, long term,
       Demand demand, IntUnaryOperator random) {
     this.demand = demand;
     this.settings = settings;
@@ -38,53 +47,69 @@
     this.replica = replica;
     this.fleet = fleet;
     this.tokens = tokens;
+    this.teams = teams;
     this.term = term;
     this.random = random;
   }
 
-  /** Counts what every team may be using, unheard machines included. */
-  Teams measure() {
-    Teams measured = new Teams(settings);
-    double unheardCpus = 0;
-    double unheardAccelerators = 0;
-    for (Machine m : fleet.machines.values()) {
-      if (m.phase == Machine.Phase.UNHEARD) {
-        unheardCpus += m.type == null ? Double.MAX_VALUE : m.type.cpus();
-        unheardAccelerators += m.type == null ? Double.MAX_VALUE : m.type.accelerators();
-      }
-      for (Attempt a : m.attempts.values()) {
-        if (a.spec != null) {
-          measured.add(a.spec, 1);
-        }
+  /** Tokens, machines and jobs looked at so far: what a test of growing cost counts. */
+  long steps() {
+    return steps;
+  }
+
+  /**
+   * What unheard machines may hold for each team: no more than the tasks of its older jobs that are neither done nor
+   * seen, nor more than those machines' room. Of cancelled jobs, all that a worker may still run counts; after
+   * {@code cancel_s} nothing of one is anywhere. A finished job has nothing left to run.
+   */
+  private void measureUnheard(long nowMicros) {
+    teams.forgetUnheard();
+    if (fleet.unheard().isEmpty()) {
+      return;
+    }
+    double cpus = 0;
+    double accelerators = 0;
+    for (Machine m : fleet.unheard()) {
+      cpus += m.type == null ? Double.MAX_VALUE : m.type.cpus();
+      accelerators += m.type == null ? Double.MAX_VALUE : m.type.accelerators();
+    }
+    for (Job job : replica.open.values()) {
+      if (job.version() < term) {
+        teams.unheard(job.spec(), job.waiting());
       }
-      m.measureRoom();
     }
-    measured.unheard(unheardCpus, unheardAccelerators);
-    return measured;
+    for (Job job : replica.cancelledSince(nowMicros - settings.cancelMicros() - CANCEL_MARGIN_MICROS)) {
+      teams.unheard(job.spec(), job.tasks());
+    }
+    teams.capUnheard(cpus, accelerators);
   }
 
   /** Jobs with something to place now, in the order of service. */
-  List<Job> order(long nowMicros, Set<Job> guaranteed) {
-    boolean unheard = fleet.anyUnheard();
+  List<Job> order(long nowMicros) {
+    boolean unheard = !fleet.unheard().isEmpty();
     List<Job> jobs = new ArrayList<>();
-    Map<Job, Integer> rank = new HashMap<>();
+    steps += replica.open.size();
     for (Job job : replica.open.values()) {
       boolean heldBack = unheard && job.version() < term;
       if (!heldBack && nowMicros >= job.notBeforeMicros && (job.waiting() > 0 || job.hasQueued())) {
         jobs.add(job);
-        rank.put(job, guaranteed.contains(job) ? 0 : 1);
       }
     }
-    jobs.sort(Comparator.comparing((Job j) -> j.spec().priority()).thenComparing(rank::get)
+    jobs.sort(Comparator.comparing((Job j) -> j.spec().priority()).thenComparing(j -> guaranteed.contains(j) ? 0 : 1)
         .thenComparing(Job::version));
     return jobs;
   }
 
   void place(long nowMicros) {
-    teams = measure();
+    measureUnheard(nowMicros);
+    teams.forgetReserves();
     demand.reserve(teams);
-    Set<Job> guaranteed = guaranteed();
-    List<Job> jobs = order(nowMicros, guaranteed);
+    if (nowMicros >= nextGuaranteedMicros) {
+      nextGuaranteedMicros = nowMicros + GUARANTEED_EVERY_MICROS;
+      guaranteed = guaranteed();
+    }
+    unplaceable.clear();
+    List<Job> jobs = order(nowMicros);
     JobSpec.Priority highest = jobs.isEmpty() ? JobSpec.Priority.LOW : jobs.get(0).spec().priority();
     serveQueues(highest, nowMicros);
     int kills = 0;
@@ -94,6 +119,9 @@
         kills += preempt(job, guaranteed, nowMicros, MOST_KILLS - kills);
       }
     }
+    // What gave way to more urgent work takes the room that is left.
+    serveQueues(JobSpec.Priority.LOW, nowMicros);
+    fleet.toServe.clear();
   }
 
   /** Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs. */
@@ -115,7 +143,8 @@
   /**
    * Stops work of other teams beyond their guarantees when a job inside its own team's guarantee has waited for a
    * while. A job that is itself inside a guarantee is spared: it would be placed again at once, before the one it
-   * was stopped for (seen in an incident: the same tasks were stopped three times in a second). Work of lower priority is not stopped for priority alone: see docs/design.md for the figures.
+   * was stopped for (seen in an incident: the same tasks were stopped three times in a second). Work of lower priority
+   * is not stopped for priority alone: see docs/design.md for the figures.
    */
   private int preempt(Job job, Set<Job> guaranteed, long nowMicros, int most) {
     JobSpec spec = job.spec();
@@ -135,8 +164,9 @@
       for (Attempt a : m.attempts.values()) {
         if (a.stop && allowed.test(m)) {
           needed -= a.spec.cpus();
-        } else if (a.phase == Attempt.Phase.SEEN && a.spec != null && a.job.open() && !a.stop && allowed.test(m)
-            && !guaranteed.contains(a.job) && spec.priority().compareTo(a.spec.priority()) <= 0 && !a.spec.team().equals(spec.team())
+        } else if (a.phase == Attempt.Phase.SEEN && a.job.open() && !a.stop && allowed.test(m)
+            && !guaranteed.contains(a.job) && spec.priority().compareTo(a.spec.priority()) <= 0
+            && !a.spec.team().equals(spec.team())
             && teams.beyondGuarantee(a.spec.team()) >= a.spec.cpus()) {
           victims.add(a);
         }
@@ -151,7 +181,7 @@
         break;
       }
       victim.stop = true;
-      victim.machine.killsPending = true;
+      fleet.killSoon(victim.machine);
       needed -= victim.spec.cpus();
       kills++;
       ports.info("stopping " + victim.task() + " on " + victim.machine.id + " for " + job.id + " of team "
@@ -162,16 +192,14 @@
 
   /** A machine's own queue goes first, but never before waiting work of a higher priority. */
   private void serveQueues(JobSpec.Priority highest, long nowMicros) {
-    for (Machine m : fleet.machines.values()) {
+    for (Machine m : fleet.toServe) {
       for (Attempt a : new ArrayList<>(m.queue)) {
-        boolean yields = a.spec.priority().compareTo(highest) > 0;
-        if (yields || !a.job.open()) {
+        steps++;
+        if (!a.job.open()) {
           fleet.remove(a);
-        } else if (m.usable(nowMicros) && m.fits(a.spec)) {
-          m.queue.remove(a);
-          a.phase = Attempt.Phase.PLANNED;
-          m.take(a.spec);
-          m.toLaunch.add(a);
+        } else if (a.spec.priority().compareTo(highest) <= 0 && m.usable(nowMicros) && m.fits(a.spec)
+            && teams.allowsOneMore(a.spec) && teams.leavesReserve(a.spec)) {
+          fleet.occupy(a);
         }
       }
     }
@@ -182,44 +210,54 @@
     int most = job.failedOn.size() >= 3 ? 1 : Integer.MAX_VALUE;
     Map<String, Integer> perZone = zonesOf(job);
     leaveQueues(job, perZone, nowMicros);
+    Candidates candidates = null;
     for (int index = job.nextFree(0); index >= 0; index = job.nextFree(index + 1)) {
       if (job.active.size() >= most || !teams.allowsOneMore(spec) || !teams.leavesReserve(spec)) {
         return;
       }
       Predicate<Machine> allowed = allowed(job, perZone, nowMicros);
-      Predicate<Machine> good = allowed.and(m -> !job.failedOn.contains(m.id));
-      Machine m = draw(job, good);
-      if (m == null && !job.failedOn.isEmpty()) {
-        // Every machine that is left has failed this job: rather one of those than never.
-        m = draw(job, allowed);
+      if (candidates == null || spec.oneZone() || spec.spread()) {
+        candidates = candidates(job, allowed);
       }
+      Machine m = candidates.draw(random);
       Attempt.Phase phase = Attempt.Phase.PLANNED;
       if (m == null) {
-        m = shortQueue(good);
+        m = shortQueue(job, allowed);
         phase = Attempt.Phase.QUEUED;
       }
       if (m == null) {
         return;
       }
-      put(job, index, m, phase, nowMicros);
+      fleet.attach(new Attempt(job, index, fleet.nextAttempt(), m, phase, nowMicros));
       perZone.merge(m.zone, 1, Integer::sum);
     }
   }
 
   /** A token beats a place in a queue: what waits for one machine takes another that has room first. */
   private void leaveQueues(Job job, Map<String, Integer> perZone, long nowMicros) {
+    if (!job.hasQueued()) {
+      return;
+    }
+    JobSpec spec = job.spec();
+    Candidates candidates = null;
     for (Attempt a : new ArrayList<>(job.active.values())) {
       if (a.phase != Attempt.Phase.QUEUED) {
         continue;
       }
+      if (!teams.allowsOneMore(spec) || !teams.leavesReserve(spec)) {
+        return;
+      }
       perZone.merge(a.machine.zone, -1, Integer::sum);
-      Machine m = draw(job, allowed(job, perZone, nowMicros).and(x -> !job.failedOn.contains(x.id)));
+      if (candidates == null || spec.oneZone() || spec.spread()) {
+        candidates = candidates(job, allowed(job, perZone, nowMicros));
+      }
+      Machine m = candidates.draw(random);
       if (m == null) {
         perZone.merge(a.machine.zone, 1, Integer::sum);
         return;
       }
       fleet.remove(a);
-      put(job, a.index, m, Attempt.Phase.PLANNED, nowMicros);
+      fleet.attach(new Attempt(job, a.index, fleet.nextAttempt(), m, Attempt.Phase.PLANNED, nowMicros));
       perZone.merge(m.zone, 1, Integer::sum);
     }
   }
@@ -233,40 +271,105 @@
   }
 
   /**
-   * The paper's uniform draw, among the tokens that suit best: machines that the demand still asks for; cheap machines for work that may use them, so that
-   * the others stay free for work that may not, or can be returned; then those that have the image; then those
-   * already in use.
+   * The tokens that fit a job's tasks, by how well they suit: machines that the demand still asks for; cheap machines
+   * for work that may use them, so that the others stay free for work that may not, or can be returned; then those
+   * that have the image; then those already in use. Looked up once for all of a job's tasks.
    */
-  private Machine draw(Job job, Predicate<Machine> allowed) {
-    JobSpec spec = job.spec();
-    return tokens.draw(allowed.and(m -> m.fits(spec)), m -> (m.surplus ? 0 : 8) + (m.spot ? 4 : 0)
-        + (m.images.contains(spec.image()) ? 2 : 0) + (m.attempts.isEmpty() ? 0 : 1), random);
+  private final class Candidates {
+    private final JobSpec spec;
+    private final List<List<Machine>> byLiking = new ArrayList<>(LIKINGS);
+    private int best = -1;
+
+    Candidates(JobSpec spec) {
+      this.spec = spec;
+      for (int i = 0; i < LIKINGS; i++) {
+        byLiking.add(null);
+      }
+    }
+
+    void add(Machine m) {
+      int liking = (m.surplus ? 0 : 8) + (m.spot ? 4 : 0) + (m.images.contains(spec.image()) ? 2 : 0)
+          + (m.attempts.isEmpty() ? 0 : 1);
+      List<Machine> equals = byLiking.get(liking);
+      if (equals == null) {
+        equals = new ArrayList<>();
+        byLiking.set(liking, equals);
+      }
+      equals.add(m);
+      best = Math.max(best, liking);
+    }
+
+    /** The paper's uniform draw, among those that suit best; null when none is left. */
+    Machine draw(IntUnaryOperator random) {
+      while (best >= 0) {
+        List<Machine> equals = byLiking.get(best);
+        if (equals == null || equals.isEmpty()) {
+          best--;
+          continue;
+        }
+        steps++;
+        int drawn = random.applyAsInt(equals.size());
+        Machine m = equals.get(drawn);
+        if (!m.fits(spec)) {
+          equals.set(drawn, equals.get(equals.size() - 1));
+          equals.remove(equals.size() - 1);
+          continue;
+        }
+        return m;
+      }
+      if (!spec.oneZone() && !spec.spread()) {
+        unplaceable.add(spec);
+      }
+      return null;
+    }
   }
 
-  private void put(Job job, int index, Machine m, Attempt.Phase phase, long nowMicros) {
-    Attempt a = new Attempt(job, index, fleet.nextAttempt(), m, phase, nowMicros);
-    job.active.put(index, a);
-    m.attempts.put(a.task(), a);
-    teams.add(a.spec, 1);
-    if (phase == Attempt.Phase.QUEUED) {
-      m.queue.add(a);
-      return;
+  private Candidates candidates(Job job, Predicate<Machine> allowed) {
+    JobSpec spec = job.spec();
+    Candidates found = new Candidates(spec);
+    for (JobSpec tried : unplaceable) {
+      steps++;
+      if (needsNoLess(spec, tried)) {
+        return found;
+      }
+    }
+    steps += tokens.all().size();
+    boolean avoiding = false;
+    for (Machine m : tokens.all()) {
+      if (m.fits(spec) && allowed.test(m)) {
+        if (job.failedOn.contains(m.id)) {
+          avoiding = true;
+        } else {
+          found.add(m);
+        }
+      }
     }
-    m.take(a.spec);
-    m.toLaunch.add(a);
-    if (!m.hasRoom()) {
-      tokens.remove(m);
+    if (avoiding && found.best < 0) {
+      // Every machine that is left has failed this job: rather one of those than never.
+      tokens.all().stream().filter(m -> m.fits(spec) && allowed.test(m)).forEach(found::add);
     }
+    return found;
   }
 
-  private Machine shortQueue(Predicate<Machine> allowed) {
-    List<Machine> candidates = new ArrayList<>();
-    for (Machine m : fleet.machines.values()) {
-      if (m.queue.size() < settings.tuning().machineQueue() && allowed.test(m)) {
-        candidates.add(m);
+  /** Whether a machine that fits the first would also fit the second. */
+  private static boolean needsNoLess(JobSpec spec, JobSpec tried) {
+    return spec.cpus() >= tried.cpus() && spec.memoryGb() >= tried.memoryGb()
+        && spec.accelerators() >= tried.accelerators() && (tried.spotAllowed() || !spec.spotAllowed())
+        && (tried.zone() == null || tried.zone().equals(spec.zone()))
+        && (tried.machineTypes() == null || tried.machineTypes().equals(spec.machineTypes()));
+  }
+
+  /** A random machine with a short queue, found with few looks however many machines there are. */
+  private Machine shortQueue(Job job, Predicate<Machine> allowed) {
+    List<Machine> open = fleet.shortQueues;
+    for (int i = 0; i < QUEUE_PROBES && !open.isEmpty(); i++) {
+      steps++;
+      Machine m = open.get(random.applyAsInt(open.size()));
+      if (allowed.test(m) && !job.failedOn.contains(m.id)) {
+        return m;
       }
     }
-    return candidates.isEmpty() ? null : candidates.get(random.applyAsInt(candidates.size()));
+    return null;
   }
 
   private Map<String, Integer> zonesOf(Job job) {
--- a/src/main/java/org/eiderstair/core/Replica.java
+++ b/src/main/java/org/eiderstair/core/Replica.java
@@ -1,6 +1,8 @@
 package org.eiderstair.core;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -46,6 +48,8 @@
   final Map<String, Job> jobs = new HashMap<>();
   /** Open jobs in the order in which this node learnt of them. */
   final Map<String, Job> open = new LinkedHashMap<>();
+  /** Jobs cancelled lately, the one seen first in front: a worker may still run their tasks. */
+  private final ArrayDeque<Job> cancelled = new ArrayDeque<>();
   final Map<String, RosterEntry> roster = new HashMap<>();
   private final Map<String, Long> dropped = new HashMap<>();
   private Leader leader;
@@ -243,11 +247,23 @@
       open.put(id, job);
     } else {
       open.remove(id);
+      if (next == Job.State.CANCELLED) {
+        job.cancelSeenMicros = now;
+        cancelled.add(job);
+      }
     }
     listener.jobChanged(job, isNew);
     job.shrink();
   }
 
+  /** Jobs whose cancelling this node has seen since then; older ones are forgotten here. */
+  Collection<Job> cancelledSince(long micros) {
+    while (!cancelled.isEmpty() && cancelled.peek().cancelSeenMicros < micros) {
+      cancelled.poll();
+    }
+    return cancelled;
+  }
+
   private void applyProgress(String id, Reply.Item item) {
     Job job = jobs.get(id);
     if (job == null) {
--- a/src/main/java/org/eiderstair/core/Scheduler.java
+++ b/src/main/java/org/eiderstair/core/Scheduler.java
@@ -4,6 +4,11 @@
 
 /** Everything that a leader does in one term. A new term starts with a new one: nothing is carried over. */
 final class Scheduler implements Ledger.Listener {
+  private static final long PASS_GAP_MICROS = 30_000;
+  private static final long QUIET_PASS_MICROS = 1_000_000;
+  private static final long REACH_EVERY_MICROS = 500_000;
+
+  private final Ports ports;
   private final Leadership leadership;
   private final Replica replica;
   private final Ledger ledger;
@@ -13,18 +18,22 @@
   private final Renting renting;
   private final long term;
   private boolean started;
+  private long nextReachMicros;
+  private long lastPassMicros = Long.MIN_VALUE / 2;
   private long now;
 
   Scheduler(Settings settings, Ports ports, Replica replica, Leadership leadership, long term,
       IntUnaryOperator random) {
+    this.ports = ports;
     this.leadership = leadership;
     this.replica = replica;
     this.term = term;
     this.ledger = new Ledger(settings, ports, replica, term, this);
     this.tokens = new TokenList(settings.tuning().tokenListSize());
-    this.fleet = new Fleet(settings, ports, replica, leadership, ledger, tokens, term);
+    Teams teams = new Teams(settings);
+    this.fleet = new Fleet(settings, ports, replica, leadership, ledger, tokens, teams, term);
     Demand demand = new Demand(settings, replica);
-    this.placement = new Placement(settings, ports, replica, fleet, tokens, term, demand, random);
+    this.placement = new Placement(settings, ports, replica, fleet, tokens, teams, term, demand, random);
     this.renting = new Renting(settings, ports, replica, fleet, leadership, demand, term);
   }
 
@@ -34,13 +43,12 @@
     renting.close();
   }
 
-  Answer reported(MachineReport report, long nowMicros) {
-    if (!started) {
-      return new Answer.Failure(503, "taking over", 0);
+  void reported(long exchange, MachineReport report, long nowMicros) {
+    if (started) {
+      fleet.reported(exchange, report, nowMicros);
+    } else {
+      ports.respond(exchange, new Answer.Failure(503, "taking over", 0));
     }
-    Answer answer = fleet.reported(report, nowMicros);
-    tick(nowMicros);
-    return answer;
   }
 
   void jobChanged(Job job) {
@@ -64,18 +72,34 @@
       fleet.takeOver(now);
     }
     fleet.tick(now);
-    if (fleet.outOfReach()) {
-      leadership.giveUp("most machines have not been heard for a while");
-      return;
+    if (now >= nextReachMicros) {
+      nextReachMicros = now + REACH_EVERY_MICROS;
+      if (fleet.outOfReach()) {
+        leadership.giveUp("most machines have not been heard for a while");
+        return;
+      }
     }
     renting.tick(now);
-    if (leadership.mayCommand(now) && (fleet.changed || replica.open.values().stream()
-        .anyMatch(j -> j.notBeforeMicros > 0 && j.waiting() > 0 && now >= j.notBeforeMicros))) {
+    if (now >= passDueMicros()) {
+      pass();
+    }
+    ledger.tick(now);
+  }
+
+  /** When the next pass is to be made: soon after something changed, and now and then for what time alone changes. */
+  long passDueMicros() {
+    return lastPassMicros + (fleet.changed || fleet.owesAnswers() ? PASS_GAP_MICROS : QUIET_PASS_MICROS);
+  }
+
+  /** Places what can be placed for all events at hand, and tells the machines. */
+  private void pass() {
+    boolean due = fleet.changed || now >= lastPassMicros + QUIET_PASS_MICROS;
+    lastPassMicros = now;
+    if (due && leadership.mayCommand(now)) {
       fleet.changed = false;
       placement.place(now);
     }
     fleet.flush(now);
-    ledger.tick(now);
   }
 
   @Override
--- a/src/main/java/org/eiderstair/core/Teams.java
+++ b/src/main/java/org/eiderstair/core/Teams.java
@@ -4,7 +4,10 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** What each team uses, counting everything that may run, against its limit and its guarantee. */
+/**
+ * What each team uses, counting everything that may run, against its limit and its guarantee. Kept by increments as
+ * attempts come and go; a test compares it with a full count.
+ */
 final class Teams {
   private static final double ROUNDING = 1e-6;
   private static final double MOST_RESERVED = 0.5;
@@ -15,13 +18,13 @@
     final Map<JobSpec.Priority, Double> byPriority = new EnumMap<>(JobSpec.Priority.class);
   }
 
-  private final Map<String, Map<JobSpec.Priority, Double>> reserves = new HashMap<>();
+  private static final Use NONE = new Use();
 
+  private final Map<String, Map<JobSpec.Priority, Double>> reserves = new HashMap<>();
   private final Settings settings;
   private final Map<String, Use> uses = new HashMap<>();
-  /** What machines that this term has not heard could be running, for any team. */
-  private double unheardCpus;
-  private double unheardAccelerators;
+  /** What machines that this term has not heard could be running, by team. */
+  private final Map<String, Use> unheard = new HashMap<>();
 
   Teams(Settings settings) {
     this.settings = settings;
@@ -34,9 +37,29 @@
     use.byPriority.merge(spec.priority(), spec.cpus() * tasks, Double::sum);
   }
 
-  void unheard(double cpus, double accelerators) {
-    unheardCpus = cpus;
-    unheardAccelerators = accelerators;
+  void forgetUnheard() {
+    unheard.clear();
+  }
+
+  /** So many tasks may be on machines that have not been heard. */
+  void unheard(JobSpec spec, int tasks) {
+    Use use = unheard.computeIfAbsent(spec.team(), t -> new Use());
+    use.cpus += spec.cpus() * tasks;
+    use.accelerators += spec.accelerators() * tasks;
+  }
+
+  /** No team can have more there than those machines hold. */
+  void capUnheard(double cpus, double accelerators) {
+    for (Use use : unheard.values()) {
+      use.cpus = Math.min(use.cpus, cpus);
+      use.accelerators = Math.min(use.accelerators, accelerators);
+    }
+  }
+
+  /** What a team uses, without what unheard machines may hold. */
+  double cpus(String team) {
+    Use use = uses.get(team);
+    return use == null ? 0 : use.cpus;
   }
 
   /** Whether one more task keeps the team's limit, whatever unheard machines may hold. */
@@ -45,13 +68,18 @@
     if (team == null) {
       return false;
     }
-    Use use = uses.get(spec.team());
-    double cpus = (use == null ? 0 : use.cpus) + unheardCpus + spec.cpus();
-    double accelerators = (use == null ? 0 : use.accelerators) + unheardAccelerators + spec.accelerators();
+    Use use = uses.getOrDefault(spec.team(), NONE);
+    Use hidden = unheard.getOrDefault(spec.team(), NONE);
+    double cpus = use.cpus + hidden.cpus + spec.cpus();
+    double accelerators = use.accelerators + hidden.accelerators + spec.accelerators();
     return (team.cpusMax() <= 0 || cpus <= team.cpusMax() + ROUNDING)
         && (team.acceleratorsMax() <= 0 || accelerators <= team.acceleratorsMax() + ROUNDING);
   }
 
+  void forgetReserves() {
+    reserves.clear();
+  }
+
   /**
    * Keeps part of a team's limit for its own more urgent work, as much as that lately wanted at once: else long
    * tasks of lower priority fill the limit, and an urgent job waits for them although machines are free.
--- a/src/main/java/org/eiderstair/node/CoreLoop.java
+++ b/src/main/java/org/eiderstair/node/CoreLoop.java
@@ -12,7 +12,7 @@
 /** The one thread that owns the core: takes events in their order, and ticks when none comes. */
 public final class CoreLoop implements Runnable {
   private static final Logger LOG = LoggerFactory.getLogger("eiderstair");
-  private static final long TICK_MICROS = 50_000;
+  private static final int MOST_AT_ONCE = 32;
 
   private final LinkedBlockingQueue<Event> events = new LinkedBlockingQueue<>();
   private Core core;
@@ -47,22 +47,33 @@
 
   @Override
   public void run() {
-    long nextTick = nowMicros();
     while (!Thread.currentThread().isInterrupted()) {
       try {
-        long wait = nextTick - nowMicros();
+        long wait = core.dueMicros() - nowMicros();
         Event event = wait > 0 ? events.poll(wait, TimeUnit.MICROSECONDS) : events.poll();
-        if (event == null) {
-          event = new Event.Tick();
-          nextTick = nowMicros() + TICK_MICROS;
+        // What is decided for all events together costs the most: once for all at hand, but not for ever later.
+        for (int taken = 0; event != null && taken < MOST_AT_ONCE; taken++) {
+          take(event);
+          event = events.poll();
         }
-        core.handle(event, nowMicros());
+        if (event != null) {
+          take(event);
+        }
+        core.tick(nowMicros());
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
       } catch (RuntimeException e) {
-        // An event that the core cannot take must not end the node; the picture is mended by later reports.
-        LOG.error("event failed", e);
+        LOG.error("tick failed", e);
       }
     }
   }
+
+  private void take(Event event) {
+    try {
+      core.take(event, nowMicros());
+    } catch (RuntimeException e) {
+      // An event that the core cannot take must not end the node; the picture is mended by later reports.
+      LOG.error("event failed", e);
+    }
+  }
 }
