--- a/src/main/java/org/eiderstair/node/CoreLoop.java
+++ b/src/main/java/org/eiderstair/node/CoreLoop.java
@@ -1,5 +1,7 @@
 package org.eiderstair.node;
 
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -13,8 +15,12 @@
 public final class CoreLoop implements Runnable {
   private static final Logger LOG = LoggerFactory.getLogger("eiderstair");
   private static final int MOST_AT_ONCE = 32;
+  private static final long LOAD_EVERY_MICROS = 10_000_000;
 
   private final LinkedBlockingQueue<Event> events = new LinkedBlockingQueue<>();
+  private final Map<String, Integer> counts = new TreeMap<>();
+  private int mostWaiting;
+  private long nextLoadMicros;
   private Core core;
   private Consumer<Effect> effects;
 
@@ -60,6 +66,9 @@
           take(event);
         }
         core.tick(nowMicros());
+        if (LOG.isInfoEnabled()) {
+          logLoad(nowMicros());
+        }
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
       } catch (RuntimeException e) {
@@ -68,7 +77,24 @@
     }
   }
 
+  /** What an operator looks at first when a controller is slow: how much there was to do, and how much waited. */
+  private void logLoad(long now) {
+    mostWaiting = Math.max(mostWaiting, events.size());
+    if (now < nextLoadMicros) {
+      return;
+    }
+    nextLoadMicros = now + LOAD_EVERY_MICROS;
+    Runtime runtime = Runtime.getRuntime();
+    LOG.info("load: {}, most waiting {}, heap {} of {} MB", counts, mostWaiting,
+        (runtime.totalMemory() - runtime.freeMemory()) >> 20, runtime.maxMemory() >> 20);
+    counts.clear();
+    mostWaiting = 0;
+  }
+
   private void take(Event event) {
+    if (LOG.isInfoEnabled()) {
+      counts.merge(event.getClass().getSimpleName(), 1, Integer::sum);
+    }
     try {
       core.take(event, nowMicros());
     } catch (RuntimeException e) {
--- a/src/test/java/org/eiderstair/sim/Day.java
+++ b/src/test/java/org/eiderstair/sim/Day.java
@@ -30,7 +30,13 @@
   private static final List<String> ZONES = List.of("a", "b", "c");
   private static final MachineType TYPE =
       new MachineType("m8", 8, 0, 32, 30, 1, 1.0, 0.3, 8_000_000, ZONES);
-  private static final double LIMIT = 24;
+  /** How large a deployment the day plays on. */
+  record Size(int nodes, int machines, double guarantee, double limit, int jobs, int tasks) {
+    static final Size SMALL = new Size(3, 10, 8, 24, 25, 12);
+    /** About the size of the users' grown deployments, with five controllers. */
+    static final Size GROWN = new Size(5, 300, 240, 900, 160, 60);
+  }
+
   /** Prints what the controllers decide, to follow one seed: -Dsim.log=true. */
   private static final boolean LOGGED = Boolean.getBoolean("sim.log");
 
@@ -39,7 +45,8 @@
   final List<String> broken = new ArrayList<>();
   private final Net net;
   private final StateService state = new StateService(clock);
-  private final Node[] nodes = new Node[3];
+  final Size size;
+  private final Node[] nodes;
   private final Map<String, Worker> workers = new LinkedHashMap<>();
   private final Map<String, List<String>> charters = new HashMap<>();
   private final Map<String, Long> rentedAt = new HashMap<>();
@@ -82,7 +89,7 @@
       int thisRun = ++run;
       exchanges.clear();
       List<String> peers = new ArrayList<>();
-      for (int i = 0; i < 3; i++) {
+      for (int i = 0; i < nodes.length; i++) {
         if (i != index) {
           peers.add("n" + i);
         }
@@ -134,21 +141,23 @@
     }
   }
 
-  Day(long seed, Consumer<Sabotage> sabotage) {
+  Day(long seed, Size size, Consumer<Sabotage> sabotage) {
+    this.size = size;
+    this.nodes = new Node[size.nodes()];
     this.random = new Random(seed);
     this.net = new Net(clock, random);
     this.sabotage = sabotage;
-    for (int i = 0; i < 3; i++) {
+    for (int i = 0; i < nodes.length; i++) {
       nodes[i] = new Node(i);
       nodes[i].start();
     }
     sweepRules();
   }
 
-  private static Settings settings(String node, List<String> peers) {
+  private Settings settings(String node, List<String> peers) {
     Map<String, Settings.Team> teams = new LinkedHashMap<>();
-    teams.put("red", new Settings.Team("red", 8, LIMIT, 0, 0));
-    teams.put("blue", new Settings.Team("blue", 8, LIMIT, 0, 0));
+    teams.put("red", new Settings.Team("red", size.guarantee(), size.limit(), 0, 0));
+    teams.put("blue", new Settings.Team("blue", size.guarantee(), size.limit(), 0, 0));
     return new Settings(node, peers, ZONES, teams, List.of(), 3_000_000, 15_000_000, 32_000_000, 200, 80, 12, 8, Settings.Tuning.defaults());
   }
 
@@ -221,7 +230,7 @@
 
   private List<String> rent(Request.CloudRent rent) {
     List<String> ids = new ArrayList<>();
-    for (int i = 0; i < rent.count() && rentedAt.size() < 10; i++) {
+    for (int i = 0; i < rent.count() && rentedAt.size() < size.machines(); i++) {
       String id = String.format("i-%06d", ++machines);
       ids.add(id);
       rentedAt.put(id, clock.now());
@@ -266,7 +275,7 @@
       }
     });
     Answer.Phase before = told.get(spec.id());
-    ask(nodes[random.nextInt(3)], x -> new Event.Submit(x, spec.id(), spec, null), a -> {
+    ask(nodes[random.nextInt(nodes.length)], x -> new Event.Submit(x, spec.id(), spec, null), a -> {
       if (a instanceof Answer.JobView view) {
         over[0] = true;
         boolean first = accepted.add(spec.id());
@@ -287,7 +296,7 @@
     } else {
       clock.after(2_000_000 + random.nextInt(2_000_000), () -> poll(id));
     }
-    ask(nodes[random.nextInt(3)], x -> new Event.Poll(x, id), a -> {
+    ask(nodes[random.nextInt(nodes.length)], x -> new Event.Poll(x, id), a -> {
       if (a instanceof Answer.JobView view) {
         heard(view, now);
       } else if (a instanceof Answer.Failure f && f.status() == 404) {
@@ -297,7 +306,7 @@
   }
 
   void pollUnknown(String id) {
-    ask(nodes[random.nextInt(3)], x -> new Event.Poll(x, id), a -> {
+    ask(nodes[random.nextInt(nodes.length)], x -> new Event.Poll(x, id), a -> {
       if (a instanceof Answer.JobView) {
         breaks("invented: " + id);
       }
@@ -311,7 +320,7 @@
       return;
     }
     clock.after(1_500_000, () -> cancel(id));
-    ask(nodes[random.nextInt(3)], x -> new Event.Cancel(x, id), a -> {
+    ask(nodes[random.nextInt(nodes.length)], x -> new Event.Cancel(x, id), a -> {
       if (a instanceof Answer.JobView view) {
         heard(view, now);
       }
@@ -354,7 +363,7 @@
     }
     on.put(task, worker.id);
     double use = teamUse.merge(spec.team(), spec.cpus(), Double::sum);
-    if (use > LIMIT + 1e-6) {
+    if (use > size.limit() + 1e-6) {
       breaks("quota: " + spec.team() + " uses " + use);
     }
     if (!spec.allows(worker.type, worker.zone, worker.spot)) {
@@ -464,7 +473,7 @@
   }
 
   void cutNodeFromPeers(int node, long micros) {
-    for (int i = 0; i < 3; i++) {
+    for (int i = 0; i < nodes.length; i++) {
       if (i != node) {
         net.cut("n" + node, "n" + i, micros);
       }
@@ -472,7 +481,7 @@
   }
 
   void cutWorker(Worker w, long micros) {
-    for (int i = 0; i < 3; i++) {
+    for (int i = 0; i < nodes.length; i++) {
       net.cut("n" + i, w.id, micros);
     }
   }
@@ -497,7 +506,7 @@
         return n.index;
       }
     }
-    return random.nextInt(3);
+    return random.nextInt(nodes.length);
   }
 
   /** Accepted jobs that should be over by now and are not known to be. */
--- a/src/test/java/org/eiderstair/sim/WholeDayTest.java
+++ b/src/test/java/org/eiderstair/sim/WholeDayTest.java
@@ -16,6 +16,7 @@
 class WholeDayTest {
   private static final long SECOND = 1_000_000;
   private static final int DAYS = Integer.getInteger("sim.days", 60);
+  private static final int GROWN_DAYS = Integer.getInteger("sim.grown", 3);
   private static final long FIRST = Long.getLong("sim.first", 1);
 
   private static JobSpec job(Day day, int number) {
@@ -23,7 +24,7 @@
     int kind = day.random.nextInt(12);
     return new JobSpec(String.format("job-%06d", number), "any", red ? "red" : "blue",
         kind == 0 ? JobSpec.Shape.SERVICE : JobSpec.Shape.ARRAY,
-        JobSpec.Priority.values()[day.random.nextInt(4)], kind == 0 ? 2 : 1 + day.random.nextInt(12),
+        JobSpec.Priority.values()[day.random.nextInt(4)], kind == 0 ? 2 : 1 + day.random.nextInt(day.size.tasks()),
         1 + day.random.nextInt(3), 0, 1, kind == 1 ? "mistake" : "img", 0.5, null,
         kind == 2 ? "b" : null, kind == 3 || kind == 4, kind == 5 || kind == 6, day.random.nextInt(3) > 0,
         (3 + day.random.nextInt(15)) * SECOND, 0, 0, JobSpec.NO_DEADLINE);
@@ -32,14 +33,14 @@
   private static void fault(Day day) {
     long span = (2 + day.random.nextInt(35)) * SECOND;
     Worker worker = day.anyWorker();
-    int node = day.random.nextInt(3);
+    int node = day.random.nextInt(day.size.nodes());
     int kind = day.random.nextInt(16);
     day.note("fault " + kind + " for " + span / SECOND + " s, leader n" + day.leader());
     switch (kind) {
       case 0 -> day.crash(day.leader(), 3 * SECOND);
       case 1 -> day.crash(node, 3 * SECOND);
       case 2 -> {
-        for (int i = 0; i < 3; i++) {
+        for (int i = 0; i < day.size.nodes(); i++) {
           day.crash(i, (3 + i) * SECOND);
         }
       }
@@ -81,9 +82,12 @@
   }
 
   static Day play(long seed, Consumer<Day.Sabotage> sabotage) {
-    Day day = new Day(seed, sabotage);
-    int jobs = 25;
-    for (int i = 0; i < jobs; i++) {
+    return play(seed, Day.Size.SMALL, sabotage);
+  }
+
+  static Day play(long seed, Day.Size size, Consumer<Day.Sabotage> sabotage) {
+    Day day = new Day(seed, size, sabotage);
+    for (int i = 0; i < size.jobs(); i++) {
       int number = i;
       day.clock.after((3 + day.random.nextInt(200)) * SECOND, () -> {
         JobSpec spec = job(day, number);
@@ -115,6 +119,16 @@
     assertEquals(List.of(), failures);
   }
 
+  @Example
+  void everyRuleHoldsAtTheGrownSize() {
+    for (long seed = FIRST; seed < FIRST + GROWN_DAYS; seed++) {
+      Day day = play(seed, Day.Size.GROWN, s -> { });
+      assertEquals(List.of(), day.broken, "seed " + seed);
+      assertEquals(List.of(), day.unfinished(), "seed " + seed);
+      assertTrue(day.started > 1000, "seed " + seed + " started " + day.started);
+    }
+  }
+
   @Example
   void aDayRepeatsExactly() {
     assertEquals(play(7, s -> { }).started, play(7, s -> { }).started);
--- a/src/test/java/org/eiderstair/sim/Worker.java
+++ b/src/test/java/org/eiderstair/sim/Worker.java
@@ -61,7 +61,7 @@
     this.zone = zone;
     this.spot = spot;
     this.answeredSentMicros = day.clock.now();
-    this.node = day.random.nextInt(3);
+    this.node = day.random.nextInt(day.size.nodes());
     tick();
   }
 
@@ -141,7 +141,7 @@
         node = day.indexOf(redirect.node());
         reportSoon = true;
       } else {
-        node = (node + 1) % 3;
+        node = (node + 1) % day.size.nodes();
         nextReportMicros = day.clock.now() + 1_000_000;
       }
     };
@@ -149,7 +149,7 @@
     day.clock.after(4_000_000, () -> {
       if (inFlight && thisReport == reportId) {
         inFlight = false;
-        node = (node + 1) % 3;
+        node = (node + 1) % day.size.nodes();
         nextReportMicros = day.clock.now() + 1_000_000;
       }
     });
