--- a/src/main/java/org/eiderstair/node/Node.java
+++ b/src/main/java/org/eiderstair/node/Node.java
@@ -46,6 +46,8 @@
     http.setSendDateHeader(false);
     http.setOutputBufferSize(4096);
     http.setRequestHeaderSize(4096);
+    // Each connection would keep a table of its own of 100 KB: more than the machine has, with one worker on each.
+    http.setHeaderCacheSize(0);
     http.setIdleTimeout(0);
     connector = connector(http, scheduler, buffers, config.bindHost(), config.bindPort());
     ServerConnector peers = connector(http, scheduler, buffers, config.peerHost(), config.peerPort());
