--- a/src/main/java/org/eiderstair/core/Demand.java
+++ b/src/main/java/org/eiderstair/core/Demand.java
@@ -18,13 +18,17 @@
   private static final double NO_AIM_FACTOR = 4;
   private static final long NO_AIM_MICROS = 60_000_000;
 
-  /** So many tasks like this one should run at once. */
-  record Wish(JobSpec spec, double tasks) {}
+  /**
+   * So many tasks like this one should run at once. {@code pressing} of them must, for the work at hand to keep the
+   * last of its aims: the rest is what was lately wanted, or wanted sooner, and is not worth a dear machine.
+   */
+  record Wish(JobSpec spec, double tasks, double pressing) {}
 
   private static final class Held {
     JobSpec spec;
     double now;
     double peak;
+    double pressing;
   }
 
   private final Settings settings;
@@ -41,7 +45,10 @@
   List<Wish> measure(long nowMicros) {
     double fade = Math.exp(-(nowMicros - measuredMicros) / HOLD_MICROS);
     measuredMicros = nowMicros;
-    classes.values().forEach(h -> h.now = 0);
+    classes.values().forEach(h -> {
+      h.now = 0;
+      h.pressing = 0;
+    });
     for (Job job : replica.open.values()) {
       JobSpec spec = job.spec();
       if (job.failedOn.size() >= 3) {
@@ -50,7 +57,9 @@
       String key = spec.jobClass() + " " + spec.team() + " " + spec.machineTypes() + " " + spec.zone();
       Held held = classes.computeIfAbsent(key, k -> new Held());
       held.spec = spec;
-      held.now += atOnce(job, nowMicros);
+      double work = work(job, nowMicros);
+      held.now += atOnce(job, work, (soonest(spec) - (nowMicros - job.seenMicros)) * EARLY);
+      held.pressing += atOnce(job, work, (latest(spec) - (nowMicros - job.seenMicros)) * EARLY);
     }
     List<Wish> wishes = new ArrayList<>();
     Map<String, Double> teams = new LinkedHashMap<>();
@@ -61,10 +70,11 @@
       double used = teams.getOrDefault(held.spec.team(), 0.0);
       // However much slack there is, work needs at least one place to run.
       double wanted = held.now > 0 ? Math.max(1, held.peak) : held.peak;
+      double pressing = held.now > 0 ? Math.max(1, held.pressing) : 0;
       double tasks = Math.min(wanted, (limit - used) / Math.max(held.spec.cpus(), 1e-3));
       teams.put(held.spec.team(), used + tasks * held.spec.cpus());
       if (tasks > 0.05) {
-        wishes.add(new Wish(held.spec, tasks));
+        wishes.add(new Wish(held.spec, tasks, Math.min(tasks, pressing)));
       }
     }
     wishes.sort(Comparator.comparing((Wish w) -> w.spec().spotAllowed()));
@@ -78,28 +88,29 @@
     }
   }
 
-  private double atOnce(Job job, long nowMicros) {
-    JobSpec spec = job.spec();
-    double estimate = Math.max(spec.estimateMicros(), 1e6);
-    if (spec.shape() == JobSpec.Shape.SERVICE) {
-      return spec.tasks();
-    }
+  /** What is left to be run of a job, as its owner estimates it. */
+  private static double work(Job job, long nowMicros) {
+    double estimate = Math.max(job.spec().estimateMicros(), 1e6);
     double work = job.waiting() * estimate;
     for (Attempt a : job.active.values()) {
       boolean runs = a.shown == MachineReport.TaskState.RUNNING;
       double left = runs ? estimate - (nowMicros - a.runningSinceMicros) : estimate;
       work += Math.max(left, estimate / 5);
     }
-    double window = Math.max((job.seenMicros + allowed(spec) - nowMicros) * EARLY, estimate);
-    return Math.min(job.unfinished(), work / window);
+    return work;
   }
 
-  /** How long after its submission a job should be complete. */
-  private double allowed(JobSpec spec) {
-    double allowed = Double.MAX_VALUE;
-    if (spec.deadlineMicros() != JobSpec.NO_DEADLINE) {
-      allowed = spec.deadlineMicros();
+  private static double atOnce(Job job, double work, double windowMicros) {
+    JobSpec spec = job.spec();
+    if (spec.shape() == JobSpec.Shape.SERVICE) {
+      return spec.tasks();
     }
+    return Math.min(job.unfinished(), work / Math.max(windowMicros, Math.max(spec.estimateMicros(), 1e6)));
+  }
+
+  /** How long after its submission a job should be complete, by the first of its aims. */
+  private double soonest(JobSpec spec) {
+    double allowed = spec.deadlineMicros() == JobSpec.NO_DEADLINE ? Double.MAX_VALUE : spec.deadlineMicros();
     for (Settings.Objective o : settings.objectives()) {
       if (o.jobClass().equals(spec.jobClass()) && o.withinMicros() > 0) {
         boolean toStart = o.kind().equals("wait");
@@ -108,4 +119,15 @@
     }
     return allowed == Double.MAX_VALUE ? NO_AIM_FACTOR * spec.estimateMicros() + NO_AIM_MICROS : allowed;
   }
+
+  /** How long after its submission a job should be complete, by the last of its aims. */
+  private double latest(JobSpec spec) {
+    double allowed = spec.deadlineMicros();
+    for (Settings.Objective o : settings.objectives()) {
+      if (o.jobClass().equals(spec.jobClass()) && o.withinMicros() > 0 && !o.kind().equals("wait")) {
+        allowed = Math.max(allowed, o.withinMicros());
+      }
+    }
+    return allowed <= 0 ? soonest(spec) : allowed;
+  }
 }
