--- a/src/main/java/org/eiderstair/core/Placement.java
+++ b/src/main/java/org/eiderstair/core/Placement.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.IntUnaryOperator;
 import java.util.function.Predicate;
 
@@ -124,6 +125,25 @@
     fleet.toServe.clear();
   }
 
+  /** One line for operators: what waits, by class and team, what each team uses, and how much room is left. */
+  String summary(long nowMicros) {
+    Map<String, Integer> waiting = new TreeMap<>();
+    for (Job job : replica.open.values()) {
+      if (job.waiting() + job.queued > 0) {
+        JobSpec spec = job.spec();
+        String why = !teams.allowsOneMore(spec) ? " at its limit" : !teams.leavesReserve(spec) ? " at its reserve" : "";
+        waiting.merge(spec.jobClass() + " of " + spec.team() + why, job.waiting() + job.queued, Integer::sum);
+      }
+    }
+    double free = 0;
+    for (Machine m : tokens.all()) {
+      free += m.usable(nowMicros) ? m.freeCpus() : 0;
+    }
+    return "machines " + fleet.machines.size() + ", unheard " + fleet.unheard().size() + ", tokens "
+        + tokens.all().size() + ", free cpus " + Math.round(free) + ", used by teams " + Math.round(teams.totalCpus())
+        + ", waiting " + waiting;
+  }
+
   /** Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs. */
   private Set<Job> guaranteed() {
     Set<Job> inside = new HashSet<>();
--- a/src/main/java/org/eiderstair/core/Scheduler.java
+++ b/src/main/java/org/eiderstair/core/Scheduler.java
@@ -6,6 +6,7 @@
 final class Scheduler implements Ledger.Listener {
   private static final long PASS_GAP_MICROS = 30_000;
   private static final long QUIET_PASS_MICROS = 1_000_000;
+  private static final long SUMMARY_EVERY_MICROS = 10_000_000;
   private static final long REACH_EVERY_MICROS = 500_000;
 
   private final Ports ports;
@@ -19,6 +20,7 @@
   private final long term;
   private boolean started;
   private long nextReachMicros;
+  private long nextSummaryMicros;
   private long lastPassMicros = Long.MIN_VALUE / 2;
   private long now;
 
@@ -79,6 +81,10 @@
         return;
       }
     }
+    if (now >= nextSummaryMicros) {
+      nextSummaryMicros = now + SUMMARY_EVERY_MICROS;
+      ports.info("leading, term=" + term + ": " + placement.summary(now));
+    }
     renting.tick(now);
     if (now >= passDueMicros()) {
       pass();
--- a/src/main/java/org/eiderstair/core/StateReach.java
+++ b/src/main/java/org/eiderstair/core/StateReach.java
@@ -11,6 +11,8 @@
   enum State { SERVED, DOUBTED, ALONE }
 
   private static final long PROBE_AFTER_MICROS = 1_000_000;
+  /** Younger than an answer that a peer in doubt can still remember from before an outage. */
+  private static final long ATTEST_WITHIN_MICROS = 1_300_000;
   private static final long DOUBT_AFTER_MICROS = 2_500_000;
   private static final long ASK_EVERY_MICROS = 1_000_000;
   private static final long BELIEVE_MICROS = 3_500_000;
@@ -49,7 +51,9 @@
   /** What this node tells a peer that asks. */
   Answer.Standing standing() {
     Replica.Leader known = replica.leader();
-    return new Answer.Standing(state == State.SERVED && replica.loaded(), known == null ? null : known.node(),
+    // Seen at the start of an outage: a peer that had not noticed yet made the others believe they were alone.
+    boolean served = now < servedMicros + ATTEST_WITHIN_MICROS && replica.loaded();
+    return new Answer.Standing(served, known == null ? null : known.node(),
         known == null ? 0 : known.term());
   }
 
--- a/src/main/java/org/eiderstair/core/Teams.java
+++ b/src/main/java/org/eiderstair/core/Teams.java
@@ -56,6 +56,15 @@
     }
   }
 
+  /** What all teams use together. */
+  double totalCpus() {
+    double cpus = 0;
+    for (Use use : uses.values()) {
+      cpus += use.cpus;
+    }
+    return cpus;
+  }
+
   /** What a team uses, without what unheard machines may hold. */
   double cpus(String team) {
     Use use = uses.get(team);
