--- a/src/main/java/org/eiderstair/core/Demand.java
+++ b/src/main/java/org/eiderstair/core/Demand.java
@@ -18,17 +18,13 @@
   private static final double NO_AIM_FACTOR = 4;
   private static final long NO_AIM_MICROS = 60_000_000;
 
-  /**
-   * So many tasks like this one should run at once. {@code pressing} of them must, for the work at hand to keep the
-   * last of its aims: the rest is what was lately wanted, or wanted sooner, and is not worth a dear machine.
-   */
-  record Wish(JobSpec spec, double tasks, double pressing) {}
+  /** So many tasks like this one should run at once. */
+  record Wish(JobSpec spec, double tasks) {}
 
   private static final class Held {
     JobSpec spec;
     double now;
     double peak;
-    double pressing;
   }
 
   private final Settings settings;
@@ -45,10 +41,7 @@
   List<Wish> measure(long nowMicros) {
     double fade = Math.exp(-(nowMicros - measuredMicros) / HOLD_MICROS);
     measuredMicros = nowMicros;
-    classes.values().forEach(h -> {
-      h.now = 0;
-      h.pressing = 0;
-    });
+    classes.values().forEach(h -> h.now = 0);
     for (Job job : replica.open.values()) {
       JobSpec spec = job.spec();
       if (job.failedOn.size() >= 3) {
@@ -57,9 +50,7 @@
       String key = spec.jobClass() + " " + spec.team() + " " + spec.machineTypes() + " " + spec.zone();
       Held held = classes.computeIfAbsent(key, k -> new Held());
       held.spec = spec;
-      double work = work(job, nowMicros);
-      held.now += atOnce(job, work, (soonest(spec) - (nowMicros - job.seenMicros)) * EARLY);
-      held.pressing += atOnce(job, work, (latest(spec) - (nowMicros - job.seenMicros)) * EARLY);
+      held.now += atOnce(job, work(job, nowMicros), (soonest(spec) - (nowMicros - job.seenMicros)) * EARLY);
     }
     List<Wish> wishes = new ArrayList<>();
     Map<String, Double> teams = new LinkedHashMap<>();
@@ -70,24 +61,35 @@
       double used = teams.getOrDefault(held.spec.team(), 0.0);
       // However much slack there is, work needs at least one place to run.
       double wanted = held.now > 0 ? Math.max(1, held.peak) : held.peak;
-      double pressing = held.now > 0 ? Math.max(1, held.pressing) : 0;
       double tasks = Math.min(wanted, (limit - used) / Math.max(held.spec.cpus(), 1e-3));
       teams.put(held.spec.team(), used + tasks * held.spec.cpus());
       if (tasks > 0.05) {
-        wishes.add(new Wish(held.spec, tasks, Math.min(tasks, pressing)));
+        wishes.add(new Wish(held.spec, tasks));
       }
     }
     wishes.sort(Comparator.comparing((Wish w) -> w.spec().spotAllowed()));
     return wishes;
   }
 
-  /** What each class lately wanted at once, for its team to keep from less urgent work. */
+  /**
+   * What each class lately wanted at once, for its team to keep from less urgent work. Only classes whose start is
+   * waited for: for the others their priority is enough. Seen after a burst: 2,400 tasks of low priority stood still
+   * beside 950 free processors, since ordinary work that found no fitting machine kept half of the team's limit.
+   */
   void reserve(Teams teams) {
     for (Held held : classes.values()) {
+      if (!startIsWaitedFor(held.spec)) {
+        continue;
+      }
       teams.reserve(held.spec.team(), held.spec.priority(), held.peak * held.spec.cpus());
     }
   }
 
+  private boolean startIsWaitedFor(JobSpec spec) {
+    return settings.objectives().stream()
+        .anyMatch(o -> o.kind().equals("wait") && o.jobClass().equals(spec.jobClass()));
+  }
+
   /** What is left to be run of a job, as its owner estimates it. */
   private static double work(Job job, long nowMicros) {
     double estimate = Math.max(job.spec().estimateMicros(), 1e6);
@@ -119,15 +121,4 @@
     }
     return allowed == Double.MAX_VALUE ? NO_AIM_FACTOR * spec.estimateMicros() + NO_AIM_MICROS : allowed;
   }
-
-  /** How long after its submission a job should be complete, by the last of its aims. */
-  private double latest(JobSpec spec) {
-    double allowed = spec.deadlineMicros();
-    for (Settings.Objective o : settings.objectives()) {
-      if (o.jobClass().equals(spec.jobClass()) && o.withinMicros() > 0 && !o.kind().equals("wait")) {
-        allowed = Math.max(allowed, o.withinMicros());
-      }
-    }
-    return allowed <= 0 ? soonest(spec) : allowed;
-  }
 }
--- a/src/main/java/org/eiderstair/core/Placement.java
+++ b/src/main/java/org/eiderstair/core/Placement.java
@@ -285,8 +285,7 @@
   private Predicate<Machine> allowed(Job job, Map<String, Integer> perZone, long nowMicros) {
     JobSpec spec = job.spec();
     String only = spec.oneZone() ? chosenZone(job, perZone, nowMicros) : null;
-    // A dear machine beyond the demand takes no more work that could go elsewhere: so it falls idle and is returned.
-    return m -> m.usable(nowMicros) && m.allows(spec) && !(m.surplus && !m.spot && spec.spotAllowed())
+    return m -> m.usable(nowMicros) && m.allows(spec)
         && (only == null || only.equals(m.zone))
         && (!spec.spread() || perZone.getOrDefault(m.zone, 0) < spec.mostPerZone());
   }
@@ -357,7 +356,7 @@
     steps += tokens.all().size();
     boolean avoiding = false;
     for (Machine m : tokens.all()) {
-      if (m.fits(spec) && allowed.test(m)) {
+      if (m.fits(spec) && allowed.test(m) && !isKept(m, spec)) {
         if (job.failedOn.contains(m.id)) {
           avoiding = true;
         } else {
@@ -372,6 +371,14 @@
     return found;
   }
 
+  /**
+   * Room that gathers for a more urgent task in the machine's queue. Seen after a burst: as every processor that came
+   * free went to a small task of low priority, no machine ever had room for the larger ones that were more urgent.
+   */
+  private static boolean isKept(Machine m, JobSpec spec) {
+    return !m.queue.isEmpty() && m.queue.get(0).spec.priority().compareTo(spec.priority()) < 0;
+  }
+
   /** Whether a machine that fits the first would also fit the second. */
   private static boolean needsNoLess(JobSpec spec, JobSpec tried) {
     return spec.cpus() >= tried.cpus() && spec.memoryGb() >= tried.memoryGb()
@@ -380,17 +387,18 @@
         && (tried.machineTypes() == null || tried.machineTypes().equals(spec.machineTypes()));
   }
 
-  /** A random machine with a short queue, found with few looks however many machines there are. */
+  /** Of a few random machines with a short queue the one with the most room: so it is found in few looks. */
   private Machine shortQueue(Job job, Predicate<Machine> allowed) {
     List<Machine> open = fleet.shortQueues;
+    Machine best = null;
     for (int i = 0; i < QUEUE_PROBES && !open.isEmpty(); i++) {
       steps++;
       Machine m = open.get(random.applyAsInt(open.size()));
-      if (allowed.test(m) && !job.failedOn.contains(m.id)) {
-        return m;
+      if (allowed.test(m) && !job.failedOn.contains(m.id) && (best == null || m.freeCpus() > best.freeCpus())) {
+        best = m;
       }
     }
-    return null;
+    return best;
   }
 
   private Map<String, Integer> zonesOf(Job job) {
--- a/src/main/java/org/eiderstair/core/Renting.java
+++ b/src/main/java/org/eiderstair/core/Renting.java
@@ -226,18 +226,14 @@
     rooms.sort(Comparator.comparing((Room r) -> !r.machine.spot).thenComparing(r -> r.machine.attempts.isEmpty()));
     Map<Offer, Double> wanted = new LinkedHashMap<>();
     for (Demand.Wish wish : demand.measure(now)) {
-      JobSpec spec = wish.spec();
-      double got = 0;
+      double tasks = wish.tasks();
       for (Room room : rooms) {
-        // Work that may use cheap machines gets dear ones only where its last aim presses.
-        double most = spec.spotAllowed() && !room.machine.spot ? wish.pressing() : wish.tasks();
-        got += room.take(spec, Math.max(0, most - got));
+        tasks -= room.take(wish.spec(), tasks);
       }
-      Offer offer = choose(spec);
-      double most = offer != null && spec.spotAllowed() && !offer.spot() ? wish.pressing() : wish.tasks();
-      if (offer != null && most - got > 1e-3) {
-        boolean nowhere = rooms.stream().noneMatch(r -> r.machine.allows(spec));
-        double machines = (most - got) * share(spec, type(offer.type()));
+      Offer offer = tasks > 1e-3 ? choose(wish.spec()) : null;
+      if (offer != null) {
+        boolean nowhere = rooms.stream().noneMatch(r -> r.machine.allows(wish.spec()));
+        double machines = tasks * share(wish.spec(), type(offer.type()));
         wanted.merge(offer, nowhere ? Math.max(1, machines) : machines, Double::sum);
       }
     }
--- a/src/test/java/org/eiderstair/core/PlacementTest.java
+++ b/src/test/java/org/eiderstair/core/PlacementTest.java
@@ -16,7 +16,8 @@
       new MachineType("t", 8, 0, 32, 10, 1, 1, 0.3, 30_000_000, List.of("a", "b"));
 
   private final Settings settings = new Settings("n0", List.of(), List.of("a", "b"), Map.of(
-      "red", new Settings.Team("red", 4, 8, 0, 0), "blue", new Settings.Team("blue", 4, 0, 0, 0)), List.of(),
+      "red", new Settings.Team("red", 4, 8, 0, 0), "blue", new Settings.Team("blue", 4, 0, 0, 0)),
+      List.of(new Settings.Objective("wait", "c1", 5_000_000, 0.9)),
       3_000_000, 20_000_000, 40_000_000, 100, 50, 16, 5, Settings.Tuning.defaults());
   private final Ports ports = new Ports(e -> { });
   private final Replica replica = new Replica(settings, ports, new Replica.Listener() {
@@ -149,6 +150,26 @@
     assertEquals(3, beyond.active.values().stream().filter(a -> a.stop).count());
   }
 
+  /** Small tasks of low priority took every processor that came free, and larger urgent ones never found room. */
+  @Example
+  void roomGathersForALargerTaskInTheQueue() {
+    Job small = job(1, "blue", Priority.LOW, 20, 1);
+    Machine m = machine("m", "a", true);
+    placement.place(NOW);
+    assertEquals(8, m.toLaunch.size());
+    seen(small);
+    Job large = job(2, "blue", Priority.NORMAL, 1, 4);
+    placement.place(NOW + 1);
+    assertTrue(large.hasQueued());
+    for (int i = 0; i < 4; i++) {
+      small.done.set(i);
+      fleet.remove(small.active.get(i));
+      placement.place(NOW + 2 + i);
+    }
+    assertEquals(4, small.active.values().stream().filter(a -> a.phase != Attempt.Phase.QUEUED).count());
+    assertEquals(Attempt.Phase.PLANNED, large.active.get(0).phase);
+  }
+
   @Example
   void zoneRulesHoldAcrossPasses() {
     JobSpec.Shape array = JobSpec.Shape.ARRAY;
