--- a/src/main/java/org/eiderstair/core/Fleet.java
+++ b/src/main/java/org/eiderstair/core/Fleet.java
@@ -47,8 +47,8 @@
   private final Set<Machine> toAnswer = new LinkedHashSet<>();
   /** Machines with waiting attempts that may have got room. */
   final Set<Machine> toServe = new LinkedHashSet<>();
-  /** Machines that may take one more into their queue. */
-  final List<Machine> shortQueues = new ArrayList<>();
+  /** Machines that may be given waiting attempts. */
+  final List<Machine> queueable = new ArrayList<>();
   private int asksInFlight;
   private long nextAskingMicros;
   /** Deleted by this term: a late report or list must not bring one back. */
@@ -114,7 +114,7 @@
       case HEARD -> leased.add(m);
       case BOOTING, LOST, GONE -> { }
     }
-    updateShortQueue(m);
+    updateQueueable(m);
   }
 
   private void answered(Machine m) {
@@ -124,22 +124,21 @@
     }
   }
 
-  private void updateShortQueue(Machine m) {
-    boolean open = m.phase == Machine.Phase.HEARD && m.plan == Machine.Plan.USE && m.rostered && m.type != null
-        && m.queue.size() < settings.tuning().machineQueue();
-    if (open == m.shortQueueIndex >= 0) {
+  private void updateQueueable(Machine m) {
+    boolean open = m.phase == Machine.Phase.HEARD && m.plan == Machine.Plan.USE && m.rostered && m.type != null;
+    if (open == m.queueableIndex >= 0) {
       return;
     }
     if (open) {
-      m.shortQueueIndex = shortQueues.size();
-      shortQueues.add(m);
+      m.queueableIndex = queueable.size();
+      queueable.add(m);
     } else {
-      Machine last = shortQueues.remove(shortQueues.size() - 1);
+      Machine last = queueable.remove(queueable.size() - 1);
       if (last != m) {
-        shortQueues.set(m.shortQueueIndex, last);
-        last.shortQueueIndex = m.shortQueueIndex;
+        queueable.set(m.queueableIndex, last);
+        last.queueableIndex = m.queueableIndex;
       }
-      m.shortQueueIndex = -1;
+      m.queueableIndex = -1;
     }
   }
 
@@ -170,7 +169,7 @@
     for (Machine m : machines.values()) {
       resolveType(m);
       m.measureRoom();
-      updateShortQueue(m);
+      updateQueueable(m);
     }
     changed = true;
   }
@@ -368,9 +367,13 @@
     a.machine.attempts.put(a.task(), a);
     a.job.active.put(a.index, a);
     if (a.phase == Attempt.Phase.QUEUED) {
-      a.machine.queue.add(a);
+      List<Attempt> queue = a.machine.queue;
+      int at = queue.size();
+      while (at > 0 && queue.get(at - 1).spec.priority().compareTo(a.spec.priority()) > 0) {
+        at--;
+      }
+      queue.add(at, a);
       a.job.queued++;
-      updateShortQueue(a.machine);
     } else {
       occupy(a);
     }
@@ -397,7 +400,6 @@
   private void leaveQueue(Attempt a) {
     if (a.machine.queue.remove(a)) {
       a.job.queued--;
-      updateShortQueue(a.machine);
     }
   }
 
@@ -483,7 +485,7 @@
   void drain(Machine m) {
     m.plan = Machine.Plan.DRAIN;
     unplan(m);
-    updateShortQueue(m);
+    updateQueueable(m);
     changed = true;
   }
 
@@ -562,7 +564,7 @@
     Machine m = machines.get(id);
     if (m != null) {
       m.rostered = true;
-      updateShortQueue(m);
+      updateQueueable(m);
       changed = true;
     }
   }
--- a/src/main/java/org/eiderstair/core/Machine.java
+++ b/src/main/java/org/eiderstair/core/Machine.java
@@ -39,7 +39,7 @@
   final Map<TaskId, Attempt> attempts = new LinkedHashMap<>();
   /** Room is taken for these; they go with the next command. */
   final List<Attempt> toLaunch = new ArrayList<>();
-  /** Waiting at the leader for room on this machine. */
+  /** Waiting at the leader for room on this machine, the most urgent first. */
   final List<Attempt> queue = new ArrayList<>();
   /** Entries to be killed or forgotten that no attempt stands for. */
   final Map<TaskId, Order> strays = new HashMap<>();
@@ -67,8 +67,8 @@
   long reportSequence;
   /** Where its token stands in the list; -1 when it has none. */
   int tokenIndex = -1;
-  /** Where it stands among the machines with a short queue; -1 when it is not among them. */
-  int shortQueueIndex = -1;
+  /** Where it stands among the machines that may be given waiting attempts; -1 when it is not among them. */
+  int queueableIndex = -1;
   int errorsInRow;
   final Set<String> failedJobs = new HashSet<>();
 
--- a/src/main/java/org/eiderstair/core/Placement.java
+++ b/src/main/java/org/eiderstair/core/Placement.java
@@ -387,20 +387,33 @@
         && (tried.machineTypes() == null || tried.machineTypes().equals(spec.machineTypes()));
   }
 
-  /** Of a few random machines with a short queue the one with the most room: so it is found in few looks. */
+  /**
+   * Of a few random machines with a short queue the one with the most room: so it is found in few looks. A queue is
+   * short for a task if what is less urgent gives way: that goes back to the common queue.
+   */
   private Machine shortQueue(Job job, Predicate<Machine> allowed) {
-    List<Machine> open = fleet.shortQueues;
+    List<Machine> all = fleet.queueable;
     Machine best = null;
-    for (int i = 0; i < QUEUE_PROBES && !open.isEmpty(); i++) {
+    for (int i = 0; i < QUEUE_PROBES && !all.isEmpty(); i++) {
       steps++;
-      Machine m = open.get(random.applyAsInt(open.size()));
-      if (allowed.test(m) && !job.failedOn.contains(m.id) && (best == null || m.freeCpus() > best.freeCpus())) {
+      Machine m = all.get(random.applyAsInt(all.size()));
+      if (isShort(m.queue, job.spec()) && allowed.test(m) && !job.failedOn.contains(m.id)
+          && (best == null || m.freeCpus() > best.freeCpus())) {
         best = m;
       }
     }
+    if (best != null && best.queue.size() >= settings.tuning().machineQueue()) {
+      fleet.remove(best.queue.get(best.queue.size() - 1));
+    }
     return best;
   }
 
+  private boolean isShort(List<Attempt> queue, JobSpec spec) {
+    int most = settings.tuning().machineQueue();
+    return queue.size() < most
+        || most > 0 && queue.get(queue.size() - 1).spec.priority().compareTo(spec.priority()) > 0;
+  }
+
   private Map<String, Integer> zonesOf(Job job) {
     Map<String, Integer> zones = new HashMap<>();
     if (job.spec().oneZone() || job.spec().spread()) {
