--- a/src/main/java/org/eiderstair/core/Placement.java
+++ b/src/main/java/org/eiderstair/core/Placement.java
@@ -217,8 +217,10 @@
         steps++;
         if (!a.job.open()) {
           fleet.remove(a);
-        } else if (a.spec.priority().compareTo(highest) <= 0 && m.usable(nowMicros) && m.fits(a.spec)
-            && teams.allowsOneMore(a.spec) && teams.leavesReserve(a.spec)) {
+        } else if (a.spec.priority().compareTo(highest) > 0 || !m.usable(nowMicros) || !m.fits(a.spec)) {
+          // Nothing behind it goes ahead: room may be gathering for this one.
+          break;
+        } else if (teams.allowsOneMore(a.spec) && teams.leavesReserve(a.spec)) {
           fleet.occupy(a);
         }
       }
