--- a/src/test/java/org/eiderstair/core/PlacementTest.java
+++ b/src/test/java/org/eiderstair/core/PlacementTest.java
@@ -59,7 +59,7 @@
   }
 
   private static void seen(Job job) {
-    job.active.values().forEach(a -> {
+    job.active.values().stream().filter(a -> a.phase == Attempt.Phase.PLANNED).forEach(a -> {
       a.phase = Attempt.Phase.SEEN;
       a.machine.toLaunch.clear();
     });
