--- a/src/main/java/org/eiderstair/core/Fleet.java
+++ b/src/main/java/org/eiderstair/core/Fleet.java
@@ -369,7 +369,7 @@
     if (a.phase == Attempt.Phase.QUEUED) {
       List<Attempt> queue = a.machine.queue;
       int at = queue.size();
-      while (at > 0 && queue.get(at - 1).spec.priority().compareTo(a.spec.priority()) > 0) {
+      while (at > 0 && queue.get(at - 1).job.rank > a.job.rank) {
         at--;
       }
       queue.add(at, a);
--- a/src/main/java/org/eiderstair/core/Job.java
+++ b/src/main/java/org/eiderstair/core/Job.java
@@ -35,6 +35,8 @@
   /** Tasks seen done, whether durable or not. */
   BitSet done = new BitSet();
   final Map<Integer, Attempt> active = new HashMap<>();
+  /** The order of service as of the last pass, the smallest first. */
+  int rank;
   /** How many of those wait at the leader for a machine's room. */
   int queued;
   long seenMicros;
--- a/src/main/java/org/eiderstair/core/Placement.java
+++ b/src/main/java/org/eiderstair/core/Placement.java
@@ -91,16 +91,29 @@
     List<Job> jobs = new ArrayList<>();
     steps += replica.open.size();
     for (Job job : replica.open.values()) {
+      job.rank = rank(job);
       boolean heldBack = unheard && job.version() < term;
       if (!heldBack && nowMicros >= job.notBeforeMicros && (job.waiting() > 0 || job.hasQueued())) {
         jobs.add(job);
       }
     }
-    jobs.sort(Comparator.comparing((Job j) -> j.spec().priority()).thenComparing(j -> guaranteed.contains(j) ? 0 : 1)
-        .thenComparing(Job::version));
+    jobs.sort(Comparator.comparingInt((Job j) -> j.rank).thenComparing(Job::version));
     return jobs;
   }
 
+  /**
+   * The order of service, the smallest first: by priority, among equals those inside their team's guarantee. Work of
+   * low priority inside a guarantee goes with the ordinary work that is inside one, since a guarantee holds against
+   * what other teams borrow, whatever its priority.
+   */
+  private int rank(Job job) {
+    JobSpec.Priority priority = job.spec().priority();
+    if (!guaranteed.contains(job)) {
+      return priority.ordinal() * 2 + 1;
+    }
+    return Math.min(priority.ordinal(), JobSpec.Priority.NORMAL.ordinal()) * 2;
+  }
+
   void place(long nowMicros) {
     measureUnheard(nowMicros);
     teams.forgetReserves();
@@ -111,8 +124,7 @@
     }
     unplaceable.clear();
     List<Job> jobs = order(nowMicros);
-    JobSpec.Priority highest = jobs.isEmpty() ? JobSpec.Priority.LOW : jobs.get(0).spec().priority();
-    serveQueues(highest, nowMicros);
+    serveQueues(jobs.isEmpty() ? Integer.MAX_VALUE : jobs.get(0).rank, nowMicros);
     int kills = 0;
     for (Job job : jobs) {
       place(job, nowMicros);
@@ -121,7 +133,7 @@
       }
     }
     // What gave way to more urgent work takes the room that is left.
-    serveQueues(JobSpec.Priority.LOW, nowMicros);
+    serveQueues(Integer.MAX_VALUE, nowMicros);
     fleet.toServe.clear();
   }
 
@@ -210,14 +222,14 @@
     return kills;
   }
 
-  /** A machine's own queue goes first, but never before waiting work of a higher priority. */
-  private void serveQueues(JobSpec.Priority highest, long nowMicros) {
+  /** A machine's own queue goes first, but never before waiting work that is more urgent. */
+  private void serveQueues(int first, long nowMicros) {
     for (Machine m : fleet.toServe) {
       for (Attempt a : new ArrayList<>(m.queue)) {
         steps++;
         if (!a.job.open()) {
           fleet.remove(a);
-        } else if (a.spec.priority().compareTo(highest) > 0 || !m.usable(nowMicros) || !m.fits(a.spec)) {
+        } else if (a.job.rank > first || !m.usable(nowMicros) || !m.fits(a.spec)) {
           // Nothing behind it goes ahead: room may be gathering for this one.
           break;
         } else if (teams.allowsOneMore(a.spec) && teams.leavesReserve(a.spec)) {
@@ -358,7 +370,7 @@
     steps += tokens.all().size();
     boolean avoiding = false;
     for (Machine m : tokens.all()) {
-      if (m.fits(spec) && allowed.test(m) && !isKept(m, spec)) {
+      if (m.fits(spec) && allowed.test(m) && !isKept(m, job)) {
         if (job.failedOn.contains(m.id)) {
           avoiding = true;
         } else {
@@ -377,8 +389,8 @@
    * Room that gathers for a more urgent task in the machine's queue. Seen after a burst: as every processor that came
    * free went to a small task of low priority, no machine ever had room for the larger ones that were more urgent.
    */
-  private static boolean isKept(Machine m, JobSpec spec) {
-    return !m.queue.isEmpty() && m.queue.get(0).spec.priority().compareTo(spec.priority()) < 0;
+  private static boolean isKept(Machine m, Job job) {
+    return !m.queue.isEmpty() && m.queue.get(0).job.rank < job.rank;
   }
 
   /** Whether a machine that fits the first would also fit the second. */
@@ -399,7 +411,7 @@
     for (int i = 0; i < QUEUE_PROBES && !all.isEmpty(); i++) {
       steps++;
       Machine m = all.get(random.applyAsInt(all.size()));
-      if (isShort(m.queue, job.spec()) && allowed.test(m) && !job.failedOn.contains(m.id)
+      if (isShort(m.queue, job) && allowed.test(m) && !job.failedOn.contains(m.id)
           && (best == null || m.freeCpus() > best.freeCpus())) {
         best = m;
       }
@@ -410,10 +422,10 @@
     return best;
   }
 
-  private boolean isShort(List<Attempt> queue, JobSpec spec) {
+  private boolean isShort(List<Attempt> queue, Job job) {
     int most = settings.tuning().machineQueue();
     return queue.size() < most
-        || most > 0 && queue.get(queue.size() - 1).spec.priority().compareTo(spec.priority()) > 0;
+        || most > 0 && queue.get(queue.size() - 1).job.rank > job.rank;
   }
 
   private Map<String, Integer> zonesOf(Job job) {
