--- a/src/main/java/org/eiderstair/core/Demand.java
+++ b/src/main/java/org/eiderstair/core/Demand.java
@@ -50,7 +50,7 @@
       String key = spec.jobClass() + " " + spec.team() + " " + spec.machineTypes() + " " + spec.zone();
       Held held = classes.computeIfAbsent(key, k -> new Held());
       held.spec = spec;
-      held.now += atOnce(job, nowMicros);
+      held.now += atOnce(job, work(job, nowMicros), (soonest(spec) - (nowMicros - job.seenMicros)) * EARLY);
     }
     List<Wish> wishes = new ArrayList<>();
     Map<String, Double> teams = new LinkedHashMap<>();
@@ -71,35 +71,48 @@
     return wishes;
   }
 
-  /** What each class lately wanted at once, for its team to keep from less urgent work. */
+  /**
+   * What each class lately wanted at once, for its team to keep from less urgent work. Only classes whose start is
+   * waited for: for the others their priority is enough. Seen after a burst: 2,400 tasks of low priority stood still
+   * beside 950 free processors, since ordinary work that found no fitting machine kept half of the team's limit.
+   */
   void reserve(Teams teams) {
     for (Held held : classes.values()) {
+      if (!startIsWaitedFor(held.spec)) {
+        continue;
+      }
       teams.reserve(held.spec.team(), held.spec.priority(), held.peak * held.spec.cpus());
     }
   }
 
-  private double atOnce(Job job, long nowMicros) {
-    JobSpec spec = job.spec();
-    double estimate = Math.max(spec.estimateMicros(), 1e6);
-    if (spec.shape() == JobSpec.Shape.SERVICE) {
-      return spec.tasks();
-    }
+  private boolean startIsWaitedFor(JobSpec spec) {
+    return settings.objectives().stream()
+        .anyMatch(o -> o.kind().equals("wait") && o.jobClass().equals(spec.jobClass()));
+  }
+
+  /** What is left to be run of a job, as its owner estimates it. */
+  private static double work(Job job, long nowMicros) {
+    double estimate = Math.max(job.spec().estimateMicros(), 1e6);
     double work = job.waiting() * estimate;
     for (Attempt a : job.active.values()) {
       boolean runs = a.shown == MachineReport.TaskState.RUNNING;
       double left = runs ? estimate - (nowMicros - a.runningSinceMicros) : estimate;
       work += Math.max(left, estimate / 5);
     }
-    double window = Math.max((job.seenMicros + allowed(spec) - nowMicros) * EARLY, estimate);
-    return Math.min(job.unfinished(), work / window);
+    return work;
   }
 
-  /** How long after its submission a job should be complete. */
-  private double allowed(JobSpec spec) {
-    double allowed = Double.MAX_VALUE;
-    if (spec.deadlineMicros() != JobSpec.NO_DEADLINE) {
-      allowed = spec.deadlineMicros();
+  private static double atOnce(Job job, double work, double windowMicros) {
+    JobSpec spec = job.spec();
+    if (spec.shape() == JobSpec.Shape.SERVICE) {
+      return spec.tasks();
     }
+    return Math.min(job.unfinished(), work / Math.max(windowMicros, Math.max(spec.estimateMicros(), 1e6)));
+  }
+
+  /** How long after its submission a job should be complete, by the first of its aims. */
+  private double soonest(JobSpec spec) {
+    double allowed = spec.deadlineMicros() == JobSpec.NO_DEADLINE ? Double.MAX_VALUE : spec.deadlineMicros();
     for (Settings.Objective o : settings.objectives()) {
       if (o.jobClass().equals(spec.jobClass()) && o.withinMicros() > 0) {
         boolean toStart = o.kind().equals("wait");
--- a/src/main/java/org/eiderstair/core/Placement.java
+++ b/src/main/java/org/eiderstair/core/Placement.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.IntUnaryOperator;
 import java.util.function.Predicate;
 
@@ -90,16 +91,29 @@
     List<Job> jobs = new ArrayList<>();
     steps += replica.open.size();
     for (Job job : replica.open.values()) {
+      job.rank = rank(job);
       boolean heldBack = unheard && job.version() < term;
       if (!heldBack && nowMicros >= job.notBeforeMicros && (job.waiting() > 0 || job.hasQueued())) {
         jobs.add(job);
       }
     }
-    jobs.sort(Comparator.comparing((Job j) -> j.spec().priority()).thenComparing(j -> guaranteed.contains(j) ? 0 : 1)
-        .thenComparing(Job::version));
+    jobs.sort(Comparator.comparingInt((Job j) -> j.rank).thenComparing(Job::version));
     return jobs;
   }
 
+  /**
+   * The order of service, the smallest first: by priority, among equals those inside their team's guarantee. Work of
+   * low priority inside a guarantee goes with the ordinary work that is inside one, since a guarantee holds against
+   * what other teams borrow, whatever its priority.
+   */
+  private int rank(Job job) {
+    JobSpec.Priority priority = job.spec().priority();
+    if (!guaranteed.contains(job)) {
+      return priority.ordinal() * 2 + 1;
+    }
+    return Math.min(priority.ordinal(), JobSpec.Priority.NORMAL.ordinal()) * 2;
+  }
+
   void place(long nowMicros) {
     measureUnheard(nowMicros);
     teams.forgetReserves();
@@ -110,8 +124,7 @@
     }
     unplaceable.clear();
     List<Job> jobs = order(nowMicros);
-    JobSpec.Priority highest = jobs.isEmpty() ? JobSpec.Priority.LOW : jobs.get(0).spec().priority();
-    serveQueues(highest, nowMicros);
+    serveQueues(jobs.isEmpty() ? Integer.MAX_VALUE : jobs.get(0).rank, nowMicros);
     int kills = 0;
     for (Job job : jobs) {
       place(job, nowMicros);
@@ -120,10 +133,29 @@
       }
     }
     // What gave way to more urgent work takes the room that is left.
-    serveQueues(JobSpec.Priority.LOW, nowMicros);
+    serveQueues(Integer.MAX_VALUE, nowMicros);
     fleet.toServe.clear();
   }
 
+  /** One line for operators: what waits, by class and team, what each team uses, and how much room is left. */
+  String summary(long nowMicros) {
+    Map<String, Integer> waiting = new TreeMap<>();
+    for (Job job : replica.open.values()) {
+      if (job.waiting() + job.queued > 0) {
+        JobSpec spec = job.spec();
+        String why = !teams.allowsOneMore(spec) ? " at its limit" : !teams.leavesReserve(spec) ? " at its reserve" : "";
+        waiting.merge(spec.jobClass() + " of " + spec.team() + why, job.waiting() + job.queued, Integer::sum);
+      }
+    }
+    double free = 0;
+    for (Machine m : tokens.all()) {
+      free += m.usable(nowMicros) ? m.freeCpus() : 0;
+    }
+    return "machines " + fleet.machines.size() + ", unheard " + fleet.unheard().size() + ", tokens "
+        + tokens.all().size() + ", free cpus " + Math.round(free) + ", used by teams " + Math.round(teams.totalCpus())
+        + ", waiting " + waiting;
+  }
+
   /** Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs. */
   private Set<Job> guaranteed() {
     Set<Job> inside = new HashSet<>();
@@ -190,15 +222,17 @@
     return kills;
   }
 
-  /** A machine's own queue goes first, but never before waiting work of a higher priority. */
-  private void serveQueues(JobSpec.Priority highest, long nowMicros) {
+  /** A machine's own queue goes first, but never before waiting work that is more urgent. */
+  private void serveQueues(int first, long nowMicros) {
     for (Machine m : fleet.toServe) {
       for (Attempt a : new ArrayList<>(m.queue)) {
         steps++;
         if (!a.job.open()) {
           fleet.remove(a);
-        } else if (a.spec.priority().compareTo(highest) <= 0 && m.usable(nowMicros) && m.fits(a.spec)
-            && teams.allowsOneMore(a.spec) && teams.leavesReserve(a.spec)) {
+        } else if (a.job.rank > first || !m.usable(nowMicros) || !m.fits(a.spec)) {
+          // Nothing behind it goes ahead: room may be gathering for this one.
+          break;
+        } else if (teams.allowsOneMore(a.spec) && teams.leavesReserve(a.spec)) {
           fleet.occupy(a);
         }
       }
@@ -336,7 +370,7 @@
     steps += tokens.all().size();
     boolean avoiding = false;
     for (Machine m : tokens.all()) {
-      if (m.fits(spec) && allowed.test(m)) {
+      if (m.fits(spec) && allowed.test(m) && !isKept(m, job)) {
         if (job.failedOn.contains(m.id)) {
           avoiding = true;
         } else {
@@ -351,6 +385,14 @@
     return found;
   }
 
+  /**
+   * Room that gathers for a more urgent task in the machine's queue. Seen after a burst: as every processor that came
+   * free went to a small task of low priority, no machine ever had room for the larger ones that were more urgent.
+   */
+  private static boolean isKept(Machine m, Job job) {
+    return !m.queue.isEmpty() && m.queue.get(0).job.rank < job.rank;
+  }
+
   /** Whether a machine that fits the first would also fit the second. */
   private static boolean needsNoLess(JobSpec spec, JobSpec tried) {
     return spec.cpus() >= tried.cpus() && spec.memoryGb() >= tried.memoryGb()
@@ -359,17 +401,31 @@
         && (tried.machineTypes() == null || tried.machineTypes().equals(spec.machineTypes()));
   }
 
-  /** A random machine with a short queue, found with few looks however many machines there are. */
+  /**
+   * Of a few random machines with a short queue the one with the most room: so it is found in few looks. A queue is
+   * short for a task if what is less urgent gives way: that goes back to the common queue.
+   */
   private Machine shortQueue(Job job, Predicate<Machine> allowed) {
-    List<Machine> open = fleet.shortQueues;
-    for (int i = 0; i < QUEUE_PROBES && !open.isEmpty(); i++) {
+    List<Machine> all = fleet.queueable;
+    Machine best = null;
+    for (int i = 0; i < QUEUE_PROBES && !all.isEmpty(); i++) {
       steps++;
-      Machine m = open.get(random.applyAsInt(open.size()));
-      if (allowed.test(m) && !job.failedOn.contains(m.id)) {
-        return m;
+      Machine m = all.get(random.applyAsInt(all.size()));
+      if (isShort(m.queue, job) && allowed.test(m) && !job.failedOn.contains(m.id)
+          && (best == null || m.freeCpus() > best.freeCpus())) {
+        best = m;
       }
     }
-    return null;
+    if (best != null && best.queue.size() >= settings.tuning().machineQueue()) {
+      fleet.remove(best.queue.get(best.queue.size() - 1));
+    }
+    return best;
+  }
+
+  private boolean isShort(List<Attempt> queue, Job job) {
+    int most = settings.tuning().machineQueue();
+    return queue.size() < most
+        || most > 0 && queue.get(queue.size() - 1).job.rank > job.rank;
   }
 
   private Map<String, Integer> zonesOf(Job job) {
