--- a/src/main/java/org/eiderstair/core/Demand.java
+++ b/src/main/java/org/eiderstair/core/Demand.java
@@ -13,7 +13,6 @@
  */
 final class Demand {
   private static final double HOLD_MICROS = 90e6;
-  /** Estimates are often too low and room is not always where it is needed: plan to be ready early. */
   private static final double EARLY = 0.7;
   private static final double NO_AIM_FACTOR = 4;
   private static final long NO_AIM_MICROS = 60_000_000;
@@ -50,7 +49,7 @@
       String key = spec.jobClass() + " " + spec.team() + " " + spec.machineTypes() + " " + spec.zone();
       Held held = classes.computeIfAbsent(key, k -> new Held());
       held.spec = spec;
-      held.now += atOnce(job, work(job, nowMicros), (soonest(spec) - (nowMicros - job.seenMicros)) * EARLY);
+      held.now += atOnce(job, work(job, nowMicros), planned(spec) - (nowMicros - job.seenMicros));
     }
     List<Wish> wishes = new ArrayList<>();
     Map<String, Double> teams = new LinkedHashMap<>();
@@ -110,15 +109,29 @@
     return Math.min(job.unfinished(), work / Math.max(windowMicros, Math.max(spec.estimateMicros(), 1e6)));
   }
 
-  /** How long after its submission a job should be complete, by the first of its aims. */
-  private double soonest(JobSpec spec) {
-    double allowed = spec.deadlineMicros() == JobSpec.NO_DEADLINE ? Double.MAX_VALUE : spec.deadlineMicros();
+  /**
+   * How long after its submission a job's work is planned to be over: early enough for its first aim. Estimates are
+   * often too low and room is not always where it is needed, so the fewer jobs may be late, the earlier.
+   */
+  private double planned(JobSpec spec) {
+    double planned = Double.MAX_VALUE;
     for (Settings.Objective o : settings.objectives()) {
-      if (o.jobClass().equals(spec.jobClass()) && o.withinMicros() > 0) {
-        boolean toStart = o.kind().equals("wait");
-        allowed = Math.min(allowed, o.withinMicros() + (toStart ? spec.estimateMicros() : 0));
+      if (!o.jobClass().equals(spec.jobClass())) {
+        continue;
       }
+      double within = switch (o.kind()) {
+        case "deadline" -> spec.deadlineMicros() == JobSpec.NO_DEADLINE ? 0 : spec.deadlineMicros();
+        case "wait" -> o.withinMicros() + spec.estimateMicros();
+        default -> o.withinMicros();
+      };
+      if (within > 0) {
+        planned = Math.min(planned, within * (1 - o.share() / 2));
+      }
+    }
+    if (planned < Double.MAX_VALUE) {
+      return planned;
     }
-    return allowed == Double.MAX_VALUE ? NO_AIM_FACTOR * spec.estimateMicros() + NO_AIM_MICROS : allowed;
+    return EARLY * (spec.deadlineMicros() != JobSpec.NO_DEADLINE ? spec.deadlineMicros()
+        : NO_AIM_FACTOR * spec.estimateMicros() + NO_AIM_MICROS);
   }
 }
