--- a/src/main/java/org/eiderstair/core/Core.java
+++ b/src/main/java/org/eiderstair/core/Core.java
@@ -23,13 +23,15 @@
 
   /**
    * @param incarnation differs for every run of a node, so that it can tell its own earlier runs
+   * @param dayOffsetMicros the time of day less the steady time, to tell other nodes and later runs how old a job is
    * @param random a uniformly random number below its argument
    */
-  public Core(Settings settings, String incarnation, IntUnaryOperator random, Consumer<Effect> effects) {
+  public Core(Settings settings, String incarnation, long dayOffsetMicros, IntUnaryOperator random,
+      Consumer<Effect> effects) {
     this.settings = settings;
     this.random = random;
     this.ports = new Ports(effects);
-    this.replica = new Replica(settings, ports, this);
+    this.replica = new Replica(settings, ports, this, dayOffsetMicros);
     this.desk = new Desk(settings, ports, replica);
     this.relay = new Relay(ports);
     this.reach = new StateReach(settings, ports, replica);
--- a/src/main/java/org/eiderstair/core/Desk.java
+++ b/src/main/java/org/eiderstair/core/Desk.java
@@ -106,6 +106,7 @@
 
   private void create(long exchange, JobSpec spec) {
     Map<String, Object> value = Records.openJob(spec);
+    value.put("at", replica.dayMicros(now));
     String key = Records.jobKey(spec.id());
     ports.call(new Request.StoreTxn(List.of(new Request.Condition(key, 0)), List.of(new Request.Write(key, value, 0))),
         reply -> {
--- a/src/main/java/org/eiderstair/core/Fleet.java
+++ b/src/main/java/org/eiderstair/core/Fleet.java
@@ -16,6 +16,8 @@
 final class Fleet {
   private static final long ASK_AGAIN_MICROS = 1_500_000;
   private static final long ASKING_EVERY_MICROS = 20_000;
+  /** Far more than can still be on their way in late reports or lists. */
+  private static final int MOST_GONE = 10_000;
   private static final int MOST_ASKS = 8;
   private static final long LEASE_MARGIN_MICROS = 1_500_000;
   private static final long OUT_OF_REACH_MICROS = 2_500_000;
@@ -52,7 +54,7 @@
   private int asksInFlight;
   private long nextAskingMicros;
   /** Deleted by this term: a late report or list must not bring one back. */
-  final Set<String> gone = new HashSet<>();
+  final Set<String> gone = new LinkedHashSet<>();
   /** Set whenever something changed that may let a task be placed. */
   boolean changed = true;
 
@@ -550,6 +552,9 @@
   void deleted(String id) {
     Machine m = machines.remove(id);
     gone.add(id);
+    if (gone.size() > MOST_GONE) {
+      gone.remove(gone.iterator().next());
+    }
     ledger.strike(id);
     if (m != null) {
       become(m, Machine.Phase.GONE);
--- a/src/main/java/org/eiderstair/core/Replica.java
+++ b/src/main/java/org/eiderstair/core/Replica.java
@@ -16,6 +16,8 @@
  */
 final class Replica {
   private static final int PAGE = 500;
+  /** Far more than a late read can still be about. */
+  private static final int MOST_DROPPED = 10_000;
   private static final long HOLD_MICROS = 4_000_000;
   private static final long RETRY_MICROS = 500_000;
 
@@ -38,6 +40,7 @@
   private final Settings settings;
   private final Ports ports;
   private final Listener listener;
+  private final long dayOffsetMicros;
   private State state = State.IDLE;
   private boolean everLoaded;
   private long revision;
@@ -51,13 +54,14 @@
   /** Jobs cancelled lately, the one seen first in front: a worker may still run their tasks. */
   private final ArrayDeque<Job> cancelled = new ArrayDeque<>();
   final Map<String, RosterEntry> roster = new HashMap<>();
-  private final Map<String, Long> dropped = new HashMap<>();
+  private final Map<String, Long> dropped = new LinkedHashMap<>();
   private Leader leader;
   private long leaderVersion;
   private List<MachineType> catalog = List.of();
   private long catalogVersion;
 
-  Replica(Settings settings, Ports ports, Listener listener) {
+  Replica(Settings settings, Ports ports, Listener listener, long dayOffsetMicros) {
+    this.dayOffsetMicros = dayOffsetMicros;
     this.settings = settings;
     this.ports = ports;
     this.listener = listener;
@@ -210,6 +214,11 @@
     }
   }
 
+  /** The time of day, as this node has it, for what other nodes read. */
+  long dayMicros(long nowMicros) {
+    return nowMicros + dayOffsetMicros;
+  }
+
   /** A read showed that the key does not exist. */
   void missing(String key) {
     if (key.startsWith(Records.PROGRESS)) {
@@ -238,7 +247,9 @@
     boolean isNew = job == null;
     if (isNew) {
       job = new Job(id);
-      job.seenMicros = now;
+      // A node that was not there when the job came must not take it for new. Days differ a little between nodes.
+      long atDay = Records.whole(item.value(), "at", 0);
+      job.seenMicros = atDay == 0 ? now : Math.min(now, atDay - dayOffsetMicros);
       jobs.put(id, job);
     }
     job.become(next, item.version(), (int) Records.whole(item.value(), "n", 0), spec,
@@ -290,6 +301,9 @@
     if (item.value() == null) {
       roster.remove(machine);
       dropped.put(machine, item.version());
+      if (dropped.size() > MOST_DROPPED) {
+        dropped.remove(dropped.keySet().iterator().next());
+      }
       return;
     }
     roster.put(machine, new RosterEntry(machine, Records.text(item.value(), "addr"),
--- a/src/main/java/org/eiderstair/node/Node.java
+++ b/src/main/java/org/eiderstair/node/Node.java
@@ -68,7 +68,8 @@
     long process = ProcessHandle.current().pid();
     String incarnation = Long.toHexString(time) + "-" + process + "-" + Long.toHexString(System.nanoTime());
     var random = new XoRoShiRo128PlusPlus(time ^ config.settings().node().hashCode(), System.nanoTime() ^ process | 1);
-    Core core = new Core(config.settings(), incarnation, random::nextInt, loop::effect);
+    Core core = new Core(config.settings(), incarnation, time * 1000 - CoreLoop.nowMicros(), random::nextInt,
+        loop::effect);
     loop.attach(core, effect -> {
       if (effect instanceof Effect.Call call) {
         outbound.send(call.call(), call.request());
--- a/src/test/java/org/eiderstair/core/FleetTest.java
+++ b/src/test/java/org/eiderstair/core/FleetTest.java
@@ -32,7 +32,7 @@
 
     @Override
     public void loaded() { }
-  });
+  }, 0);
   private final Fleet fleet = new Fleet(settings, ports, replica, leadership(), null, new TokenList(10),
       new Teams(settings), 1);
   private final Machine machine = new Machine("m", 1, Machine.Phase.HEARD, 0);
--- a/src/test/java/org/eiderstair/core/GrowthTest.java
+++ b/src/test/java/org/eiderstair/core/GrowthTest.java
@@ -48,7 +48,7 @@
 
         @Override
         public void loaded() { }
-      });
+      }, 0);
       teams = new Teams(settings);
       tokens = new TokenList(settings.tuning().tokenListSize());
       Ledger ledger = new Ledger(settings, ports, replica, TERM, null);
--- a/src/test/java/org/eiderstair/core/PlacementTest.java
+++ b/src/test/java/org/eiderstair/core/PlacementTest.java
@@ -29,7 +29,7 @@
 
     @Override
     public void loaded() { }
-  });
+  }, 0);
   private final Teams teams = new Teams(settings);
   private final TokenList tokens = new TokenList(10);
   private final Fleet fleet = new Fleet(settings, ports, replica, null, null, tokens, teams, 1);
--- a/src/test/java/org/eiderstair/core/StateReachTest.java
+++ b/src/test/java/org/eiderstair/core/StateReachTest.java
@@ -21,7 +21,7 @@
       calls.add(call);
     }
   });
-  private final StateReach reach = new StateReach(settings, ports, new Replica(settings, ports, null));
+  private final StateReach reach = new StateReach(settings, ports, new Replica(settings, ports, null, 0));
 
   private void pass(long seconds, Reply ofState, Reply ofPeers) {
     ports.watch(reach::replied);
--- a/src/test/java/org/eiderstair/sim/Day.java
+++ b/src/test/java/org/eiderstair/sim/Day.java
@@ -94,7 +94,7 @@
           peers.add("n" + i);
         }
       }
-      core = new Core(settings(name(), peers), name() + "-" + run, random::nextInt, e -> effect(e, thisRun));
+      core = new Core(settings(name(), peers), name() + "-" + run, 0, random::nextInt, e -> effect(e, thisRun));
       tick(thisRun);
     }
 
