--- a/src/main/java/org/eiderstair/core/Demand.java
+++ b/src/main/java/org/eiderstair/core/Demand.java
@@ -17,8 +17,11 @@
   private static final double NO_AIM_FACTOR = 4;
   private static final long NO_AIM_MICROS = 60_000_000;
 
-  /** So many tasks like this one should run at once. */
-  record Wish(JobSpec spec, double tasks) {}
+  /**
+   * So many tasks like this one should run at once. {@code pressing} of them are wanted by the work at hand; the rest
+   * was lately wanted, and is not worth a dear machine.
+   */
+  record Wish(JobSpec spec, double tasks, double pressing) {}
 
   private static final class Held {
     JobSpec spec;
@@ -63,7 +66,8 @@
       double tasks = Math.min(wanted, (limit - used) / Math.max(held.spec.cpus(), 1e-3));
       teams.put(held.spec.team(), used + tasks * held.spec.cpus());
       if (tasks > 0.05) {
-        wishes.add(new Wish(held.spec, tasks));
+        double pressing = held.now > 0 ? Math.max(1, held.now) : 0;
+        wishes.add(new Wish(held.spec, tasks, Math.min(tasks, pressing)));
       }
     }
     wishes.sort(Comparator.comparing((Wish w) -> w.spec().spotAllowed()));
--- a/src/main/java/org/eiderstair/core/Placement.java
+++ b/src/main/java/org/eiderstair/core/Placement.java
@@ -299,7 +299,8 @@
   private Predicate<Machine> allowed(Job job, Map<String, Integer> perZone, long nowMicros) {
     JobSpec spec = job.spec();
     String only = spec.oneZone() ? chosenZone(job, perZone, nowMicros) : null;
-    return m -> m.usable(nowMicros) && m.allows(spec)
+    // A dear machine beyond what is at hand takes no more work that could go elsewhere, so it can be returned.
+    return m -> m.usable(nowMicros) && m.allows(spec) && !(m.surplus && !m.spot && spec.spotAllowed())
         && (only == null || only.equals(m.zone))
         && (!spec.spread() || perZone.getOrDefault(m.zone, 0) < spec.mostPerZone());
   }
--- a/src/main/java/org/eiderstair/core/Renting.java
+++ b/src/main/java/org/eiderstair/core/Renting.java
@@ -226,14 +226,18 @@
     rooms.sort(Comparator.comparing((Room r) -> !r.machine.spot).thenComparing(r -> r.machine.attempts.isEmpty()));
     Map<Offer, Double> wanted = new LinkedHashMap<>();
     for (Demand.Wish wish : demand.measure(now)) {
-      double tasks = wish.tasks();
+      JobSpec spec = wish.spec();
+      double got = 0;
       for (Room room : rooms) {
-        tasks -= room.take(wish.spec(), tasks);
+        // Work that may use cheap machines gets dear ones only for what is at hand.
+        double most = spec.spotAllowed() && !room.machine.spot ? wish.pressing() : wish.tasks();
+        got += room.take(spec, Math.max(0, most - got));
       }
-      Offer offer = tasks > 1e-3 ? choose(wish.spec()) : null;
-      if (offer != null) {
-        boolean nowhere = rooms.stream().noneMatch(r -> r.machine.allows(wish.spec()));
-        double machines = tasks * share(wish.spec(), type(offer.type()));
+      Offer offer = choose(spec);
+      double most = offer != null && spec.spotAllowed() && !offer.spot() ? wish.pressing() : wish.tasks();
+      if (offer != null && most - got > 1e-3) {
+        boolean nowhere = rooms.stream().noneMatch(r -> r.machine.allows(spec));
+        double machines = (most - got) * share(spec, type(offer.type()));
         wanted.merge(offer, nowhere ? Math.max(1, machines) : machines, Double::sum);
       }
     }
