--- a/src/main/java/org/eiderstair/core/Placement.java
+++ b/src/main/java/org/eiderstair/core/Placement.java
@@ -299,12 +299,16 @@
   private Predicate<Machine> allowed(Job job, Map<String, Integer> perZone, long nowMicros) {
     JobSpec spec = job.spec();
     String only = spec.oneZone() ? chosenZone(job, perZone, nowMicros) : null;
-    // A dear machine beyond what is at hand takes no more work that could go elsewhere, so it can be returned.
-    return m -> m.usable(nowMicros) && m.allows(spec) && !(m.surplus && !m.spot && spec.spotAllowed())
+    return m -> isOpenTo(m, spec, nowMicros)
         && (only == null || only.equals(m.zone))
         && (!spec.spread() || perZone.getOrDefault(m.zone, 0) < spec.mostPerZone());
   }
 
+  /** A dear machine beyond what is at hand takes no more work that could go elsewhere, so it can be returned. */
+  private static boolean isOpenTo(Machine m, JobSpec spec, long nowMicros) {
+    return m.usable(nowMicros) && m.allows(spec) && !(m.surplus && !m.spot && spec.spotAllowed());
+  }
+
   /**
    * The tokens that fit a job's tasks, by how well they suit: machines that the demand still asks for; cheap machines
    * for work that may use them, so that the others stay free for work that may not, or can be returned; then those
@@ -450,7 +454,7 @@
     }
     Map<String, Double> room = new HashMap<>();
     for (Machine m : fleet.machines.values()) {
-      if (m.usable(nowMicros) && m.allows(job.spec())) {
+      if (isOpenTo(m, job.spec(), nowMicros)) {
         room.merge(m.zone, m.freeCpus(), Double::sum);
       }
     }
--- a/src/test/java/org/eiderstair/core/PlacementTest.java
+++ b/src/test/java/org/eiderstair/core/PlacementTest.java
@@ -170,6 +170,30 @@
     assertEquals(Attempt.Phase.PLANNED, large.active.get(0).phase);
   }
 
+  /** Dear machines rented for a backlog stayed busy with work that cheap ones could have done, until the day's end. */
+  @Example
+  void dearMachinesBeyondTheDemandTakeNoWorkThatCouldGoElsewhere() {
+    Machine dear = machine("o", "a", false);
+    dear.surplus = true;
+    Job flexible = job(1, "blue", Priority.NORMAL, 4, 1);
+    placement.place(NOW);
+    assertEquals(0, flexible.active.values().stream().filter(a -> a.phase == Attempt.Phase.PLANNED).count());
+    dear.surplus = false;
+    placement.place(NOW + 1);
+    assertEquals(4, dear.toLaunch.size());
+  }
+
+  /** A guarantee holds against what other teams borrow, also for work of low priority. */
+  @Example
+  void workInsideAGuaranteeGoesBeforeBorrowedWork() {
+    Job borrowed = job(1, "blue", Priority.NORMAL, 40, 1);
+    Job inside = job(2, "red", Priority.LOW, 4, 1);
+    machine("m", "a", true);
+    placement.place(NOW);
+    assertEquals(4, inside.active.values().stream().filter(a -> a.phase == Attempt.Phase.PLANNED).count());
+    assertEquals(4, borrowed.active.values().stream().filter(a -> a.phase == Attempt.Phase.PLANNED).count());
+  }
+
   @Example
   void zoneRulesHoldAcrossPasses() {
     JobSpec.Shape array = JobSpec.Shape.ARRAY;
