--- a/src/main/java/org/eiderstair/core/Fleet.java
+++ b/src/main/java/org/eiderstair/core/Fleet.java
@@ -328,9 +328,7 @@
       }
       if (known.shown != entry.state()) {
         known.shown = entry.state();
-        if (known.spec != null) {
-          m.images.add(known.spec.image());
-        }
+        m.useImage(known.spec);
         if (entry.state() == MachineReport.TaskState.RUNNING) {
           known.runningSinceMicros = now;
           noteRunning(known.job);
@@ -357,7 +355,7 @@
     Attempt a = new Attempt(job, entry.task().index(), entry.attempt(), m, Attempt.Phase.SEEN, now);
     a.shown = entry.state();
     a.runningSinceMicros = now;
-    m.images.add(job.spec().image());
+    m.useImage(job.spec());
     attach(a);
   }
 
@@ -390,7 +388,7 @@
     teams.add(a.spec, 1);
     a.machine.take(a.spec);
     if (a.phase == Attempt.Phase.PLANNED) {
-      a.machine.images.add(a.spec.image());
+      a.machine.useImage(a.spec);
       a.machine.toLaunch.add(a);
       toSend.add(a.machine);
     }
@@ -494,7 +492,7 @@
   /** Before a machine is taken away, tasks that can save in time are told to; the others may yet complete. */
   private void saveProgress(Machine m, long noticeMicros) {
     for (Attempt a : m.attempts.values()) {
-      if (a.spec != null && a.spec.checkpointEveryMicros() > 0 && a.spec.saveMicros() + SAVE_MARGIN_MICROS <= noticeMicros) {
+      if (a.spec.checkpointEveryMicros() > 0 && a.spec.saveMicros() + SAVE_MARGIN_MICROS <= noticeMicros) {
         a.stop = true;
         killSoon(m);
       }
@@ -545,7 +543,7 @@
     }
     m.strays.clear();
     m.reaps.clear();
-    m.images.clear();
+    m.forgetImages();
   }
 
   /** The cloud confirmed that the machine is gone, with everything on it. */
--- a/src/main/java/org/eiderstair/core/Ledger.java
+++ b/src/main/java/org/eiderstair/core/Ledger.java
@@ -13,7 +13,7 @@
  */
 final class Ledger {
   private static final long PROGRESS_EVERY_MICROS = 500_000;
-  /** Changes that come close together go in one transaction: single ones would spend the requests, and the processor. */
+  /** Changes that come close together go in one transaction: single ones would spend requests and processor. */
   private static final long GATHER_MICROS = 60_000;
   private static final long RETRY_MICROS = 500_000;
   private static final int TXN_BYTES = 40_000;
--- a/src/main/java/org/eiderstair/core/Machine.java
+++ b/src/main/java/org/eiderstair/core/Machine.java
@@ -45,7 +45,9 @@
   final Map<TaskId, Order> strays = new HashMap<>();
   /** Ended entries that may be forgotten: their outcome is durable, or needs no record. */
   final Map<TaskId, Order.Reap> reaps = new HashMap<>();
-  final Set<String> images = new HashSet<>();
+  /** The images it should have, with their size, the one used longest ago first: it keeps only the latest. */
+  private final Map<String, Double> images = new LinkedHashMap<>();
+  private double imagesGb;
 
   boolean commandInFlight;
   boolean killsPending;
@@ -128,6 +130,25 @@
         && spec.memoryGb() <= freeMemory + 1e-6;
   }
 
+  boolean hasImage(JobSpec spec) {
+    return images.containsKey(spec.image());
+  }
+
+  /** A task that uses an image is here or comes here: the machine drops what it has not used for longest. */
+  void useImage(JobSpec spec) {
+    Double known = images.remove(spec.image());
+    imagesGb += spec.imageGb() - (known == null ? 0 : known);
+    images.put(spec.image(), spec.imageGb());
+    while (type != null && imagesGb > type.cacheGb() && images.size() > 1) {
+      imagesGb -= images.remove(images.keySet().iterator().next());
+    }
+  }
+
+  void forgetImages() {
+    images.clear();
+    imagesGb = 0;
+  }
+
   double freeCpus() {
     return Math.max(0, freeCpus);
   }
--- a/src/main/java/org/eiderstair/core/Placement.java
+++ b/src/main/java/org/eiderstair/core/Placement.java
@@ -327,7 +327,7 @@
     }
 
     void add(Machine m) {
-      int liking = (m.surplus ? 0 : 8) + (m.spot ? 4 : 0) + (m.images.contains(spec.image()) ? 2 : 0)
+      int liking = (m.surplus ? 0 : 8) + (m.spot ? 4 : 0) + (m.hasImage(spec) ? 2 : 0)
           + (m.attempts.isEmpty() ? 0 : 1);
       List<Machine> equals = byLiking.get(liking);
       if (equals == null) {
@@ -417,7 +417,7 @@
       steps++;
       Machine m = all.get(random.applyAsInt(all.size()));
       if (isShort(m.queue, job) && allowed.test(m) && !job.failedOn.contains(m.id)
-          && (best == null || m.freeCpus() > best.freeCpus())) {
+          && (best == null || suitsQueue(m, job) > suitsQueue(best, job))) {
         best = m;
       }
     }
@@ -427,6 +427,11 @@
     return best;
   }
 
+  /** One that has the image, and of those the one with the most room. */
+  private static double suitsQueue(Machine m, Job job) {
+    return m.freeCpus() + (m.hasImage(job.spec()) ? m.type.cpus() : 0);
+  }
+
   private boolean isShort(List<Attempt> queue, Job job) {
     int most = settings.tuning().machineQueue();
     return queue.size() < most
--- a/src/main/java/org/eiderstair/core/Renting.java
+++ b/src/main/java/org/eiderstair/core/Renting.java
@@ -374,7 +374,7 @@
     });
   }
 
-  /** A rostered machine that is neither heard nor listed is most likely gone; its deletion costs nothing and proves it. */
+  /** A rostered machine neither heard nor listed is most likely gone; its deletion costs nothing and proves it. */
   private void returnUnlisted() {
     for (Machine m : fleet.machines.values()) {
       if (m.phase == Machine.Phase.UNHEARD && m.plan != Machine.Plan.DELETE && !listed.contains(m.id)
--- a/src/main/java/org/eiderstair/node/Node.java
+++ b/src/main/java/org/eiderstair/node/Node.java
@@ -61,8 +61,8 @@
     server.start();
     LOG.info("node {} listens on port {}", config.settings().node(), connector.getLocalPort());
 
-    outbound = new Outbound(config.stateAddress(), config.cloudAddress(), config.peerAddresses(), threads, scheduler, buffers,
-        (call, reply) -> loop.offer(new Event.Replied(call, reply)));
+    outbound = new Outbound(config.stateAddress(), config.cloudAddress(), config.peerAddresses(), threads,
+        scheduler, buffers, (call, reply) -> loop.offer(new Event.Replied(call, reply)));
     // Runs of one node differ in their time or their process; nothing here needs to be hard to guess.
     long time = System.currentTimeMillis();
     long process = ProcessHandle.current().pid();
--- a/src/test/java/org/eiderstair/sim/Day.java
+++ b/src/test/java/org/eiderstair/sim/Day.java
@@ -158,7 +158,8 @@
     Map<String, Settings.Team> teams = new LinkedHashMap<>();
     teams.put("red", new Settings.Team("red", size.guarantee(), size.limit(), 0, 0));
     teams.put("blue", new Settings.Team("blue", size.guarantee(), size.limit(), 0, 0));
-    return new Settings(node, peers, ZONES, teams, List.of(), 3_000_000, 15_000_000, 32_000_000, 200, 80, 12, 8, Settings.Tuning.defaults());
+    return new Settings(node, peers, ZONES, teams, List.of(), 3_000_000, 15_000_000, 32_000_000,
+        200, 80, 12, 8, Settings.Tuning.defaults());
   }
 
   long leaseMicros() {
@@ -421,7 +422,8 @@
     if (completed.contains(task)) {
       return 1;
     }
-    return spec.shape() == JobSpec.Shape.SERVICE ? 0 : spec.estimateMicros() / 2 + random.nextInt(1 + (int) spec.estimateMicros());
+    int estimate = (int) spec.estimateMicros();
+    return spec.shape() == JobSpec.Shape.SERVICE ? 0 : estimate / 2 + random.nextInt(1 + estimate);
   }
 
   boolean mistaken(String job) {
