--- a/src/main/java/org/eiderstair/core/Machine.java
+++ b/src/main/java/org/eiderstair/core/Machine.java
@@ -61,6 +61,8 @@
   boolean rostered;
   /** More than the demand asks for: used last, so that it falls idle and can be returned. */
   boolean surplus;
+  /** Dear and beyond what is at hand: it takes no more work that could go elsewhere, so it can be returned. */
+  boolean closing;
   /** The exchange of a report that has not been answered yet; 0 when there is none. */
   long exchange;
   /** The sequence of that report: what its answer launches is settled by a later report only. */
--- a/src/main/java/org/eiderstair/core/Placement.java
+++ b/src/main/java/org/eiderstair/core/Placement.java
@@ -304,9 +304,8 @@
         && (!spec.spread() || perZone.getOrDefault(m.zone, 0) < spec.mostPerZone());
   }
 
-  /** A dear machine beyond what is at hand takes no more work that could go elsewhere, so it can be returned. */
   private static boolean isOpenTo(Machine m, JobSpec spec, long nowMicros) {
-    return m.usable(nowMicros) && m.allows(spec) && !(m.surplus && !m.spot && spec.spotAllowed());
+    return m.usable(nowMicros) && m.allows(spec) && !(m.closing && spec.spotAllowed());
   }
 
   /**
--- a/src/main/java/org/eiderstair/core/Renting.java
+++ b/src/main/java/org/eiderstair/core/Renting.java
@@ -225,16 +225,19 @@
     // Cheap machines serve first, and among equals the busy ones: what is left over is best returned.
     rooms.sort(Comparator.comparing((Room r) -> !r.machine.spot).thenComparing(r -> r.machine.attempts.isEmpty()));
     Map<Offer, Double> wanted = new LinkedHashMap<>();
-    for (Demand.Wish wish : demand.measure(now)) {
+    List<Demand.Wish> wishes = demand.measure(now);
+    // Where some work may use dear machines only, those are kept by all demand: a burst of it cannot wait for a boot.
+    boolean sparing = wishes.stream().allMatch(w -> w.spec().spotAllowed());
+    for (Demand.Wish wish : wishes) {
       JobSpec spec = wish.spec();
       double got = 0;
       for (Room room : rooms) {
         // Work that may use cheap machines gets dear ones only for what is at hand.
-        double most = spec.spotAllowed() && !room.machine.spot ? wish.pressing() : wish.tasks();
+        double most = sparing && !room.machine.spot ? wish.pressing() : wish.tasks();
         got += room.take(spec, Math.max(0, most - got));
       }
       Offer offer = choose(spec);
-      double most = offer != null && spec.spotAllowed() && !offer.spot() ? wish.pressing() : wish.tasks();
+      double most = sparing && offer != null && !offer.spot() ? wish.pressing() : wish.tasks();
       if (offer != null && most - got > 1e-3) {
         boolean nowhere = rooms.stream().noneMatch(r -> r.machine.allows(spec));
         double machines = (most - got) * share(spec, type(offer.type()));
@@ -245,6 +248,7 @@
         rent(offer, Math.min(settings.tuning().rentBatch(), (int) Math.ceil(machines - 0.1))));
     for (Room room : rooms) {
       room.machine.surplus = room.left > 0.999;
+      room.machine.closing = sparing && room.machine.surplus && !room.machine.spot;
       if (room.machine.surplus && isIdle(room.machine)) {
         returnNow(room.machine, "idle");
       }
