--- a/src/main/java/org/eiderstair/core/Demand.java
+++ b/src/main/java/org/eiderstair/core/Demand.java
@@ -110,7 +110,9 @@
     if (spec.shape() == JobSpec.Shape.SERVICE) {
       return spec.tasks();
     }
-    return Math.min(job.unfinished(), work / Math.max(windowMicros, Math.max(spec.estimateMicros(), 1e6)));
+    // Work that may not use cheap machines cannot borrow their room: what it wants at once is kept there for it.
+    double window = spec.spotAllowed() ? windowMicros : 0;
+    return Math.min(job.unfinished(), work / Math.max(window, Math.max(spec.estimateMicros(), 1e6)));
   }
 
   /**
