--- a/src/main/java/org/eiderstair/core/Answer.java
+++ b/src/main/java/org/eiderstair/core/Answer.java
@@ -19,5 +19,8 @@
   /** To a worker: report elsewhere; null when this node knows no better place. */
   record Redirect(String node) implements Answer {}
 
+  /** To a peer: whether the state service serves this node, and whom it follows (null: nobody it knows of). */
+  record Standing(boolean served, String leader, long term) implements Answer {}
+
   record Ready(boolean ready) implements Answer {}
 }
--- a/src/main/java/org/eiderstair/core/Core.java
+++ b/src/main/java/org/eiderstair/core/Core.java
@@ -17,6 +17,7 @@
   private final Desk desk;
   private final Leadership leadership;
   private final Relay relay;
+  private final StateReach reach;
   private Scheduler scheduler;
   private long now;
 
@@ -31,6 +32,8 @@
     this.replica = new Replica(settings, ports, this);
     this.desk = new Desk(settings, ports, replica);
     this.relay = new Relay(ports);
+    this.reach = new StateReach(settings, ports, replica);
+    ports.watch(reach::replied);
     this.leadership = new Leadership(settings, ports, replica, incarnation, this);
   }
 
@@ -54,8 +57,10 @@
       desk.submit(submit.exchange(), submit.id(), submit.spec(), submit.fault());
     } else if (event instanceof Event.Cancel cancel) {
       desk.cancel(cancel.exchange(), cancel.id());
+    } else if (event instanceof Event.PeerAsked asked) {
+      ports.respond(asked.exchange(), reach.standing());
     } else if (event instanceof Event.ReadyProbe probe) {
-      ports.respond(probe.exchange(), new Answer.Ready(replica.loaded()));
+      ports.respond(probe.exchange(), new Answer.Ready(replica.loaded() && !reach.alone()));
     }
   }
 
@@ -72,6 +77,11 @@
     now = nowMicros;
     replica.at(now);
     replica.tick(now);
+    reach.tick(now);
+    String newer = reach.newerLeader(leadership.term());
+    if (newer != null && leadership.inOffice()) {
+      leadership.deposed("a peer that the state service serves follows " + newer + ", term=" + reach.newerTerm());
+    }
     leadership.tick(now);
     desk.tick(now);
     if (scheduler != null) {
@@ -85,11 +95,13 @@
       return;
     }
     Replica.Leader leader = replica.leader();
-    boolean elsewhere = leader != null && !leader.node().equals(settings.node());
+    // While the state service refuses this node alone, its own picture of the leader is old.
+    String newer = reach.newerLeader(leader == null ? 0 : leader.term());
+    String target = newer != null ? newer : leader == null ? null : leader.node();
     if (event.relayed()) {
       ports.respond(event.exchange(), new Answer.Redirect(null));
     } else {
-      relay.reported(event.exchange(), event.report(), elsewhere ? leader.node() : null, now);
+      relay.reported(event.exchange(), event.report(), settings.node().equals(target) ? null : target, now);
     }
   }
 
--- a/src/main/java/org/eiderstair/core/Event.java
+++ b/src/main/java/org/eiderstair/core/Event.java
@@ -16,6 +16,9 @@
 
   record Cancel(long exchange, String id) implements Event {}
 
+  /** A peer asks whether the state service serves this node. */
+  record PeerAsked(long exchange) implements Event {}
+
   record ReadyProbe(long exchange) implements Event {}
 
   /** A worker reports; {@code relayed} when it came through another node. */
--- a/src/main/java/org/eiderstair/core/Ports.java
+++ b/src/main/java/org/eiderstair/core/Ports.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 /**
@@ -9,24 +10,33 @@
  * core's one thread, so a reply is handled like any other event.
  */
 final class Ports {
+  private record Pending(Request request, Consumer<Reply> then) {}
+
   private final Consumer<Effect> out;
-  private final Map<Long, Consumer<Reply>> pending = new HashMap<>();
+  private final Map<Long, Pending> pending = new HashMap<>();
+  private BiConsumer<Request, Reply> watcher = (request, reply) -> { };
   private long lastCall;
 
   Ports(Consumer<Effect> out) {
     this.out = out;
   }
 
+  /** Told of every reply before it is handled. */
+  void watch(BiConsumer<Request, Reply> each) {
+    watcher = each;
+  }
+
   void call(Request request, Consumer<Reply> then) {
     long call = ++lastCall;
-    pending.put(call, then);
+    pending.put(call, new Pending(request, then));
     out.accept(new Effect.Call(call, request));
   }
 
   void replied(long call, Reply reply) {
-    Consumer<Reply> then = pending.remove(call);
-    if (then != null) {
-      then.accept(reply);
+    Pending done = pending.remove(call);
+    if (done != null) {
+      watcher.accept(done.request(), reply);
+      done.then().accept(reply);
     }
   }
 
--- a/src/main/java/org/eiderstair/core/Reply.java
+++ b/src/main/java/org/eiderstair/core/Reply.java
@@ -36,6 +36,9 @@
 
   record Report(MachineReport report, boolean executed) implements Reply {}
 
+  /** A peer's word on whether the state service serves it, and whom it follows. */
+  record PeerStanding(boolean served, String leader, long term) implements Reply {}
+
   record Relayed(Answer answer) implements Reply {}
 
   /** Answered, and certainly not executed: the status says why (404, 410, 429, 503 ...). */
--- a/src/main/java/org/eiderstair/core/Request.java
+++ b/src/main/java/org/eiderstair/core/Request.java
@@ -39,5 +39,8 @@
   record WorkerCommands(String address, long token, long session, List<Order> orders) implements Request {}
 
   /** A worker's report, passed to the leader by a node that the worker can reach. */
+  /** Asks a peer whether the state service serves it. */
+  record PeerAsk(String peer) implements Request {}
+
   record PeerRelay(String peer, MachineReport report) implements Request {}
 }
--- /dev/null
+++ b/src/main/java/org/eiderstair/core/StateReach.java
@@ -0,0 +1,112 @@
+package org.eiderstair.core;
+
+/**
+ * Whether the state service serves this node. A single node cannot tell an outage from a refusal that only it gets:
+ * its peers can. A node that alone is refused does not say that it is ready, and gives way as leader; in an outage
+ * all stay as they are, since none could do better.
+ */
+final class StateReach {
+
+  /** DOUBTED had no answer for a while and asks its peers; ALONE was told by one of them that it is served. */
+  enum State { SERVED, DOUBTED, ALONE }
+
+  private static final long PROBE_AFTER_MICROS = 1_000_000;
+  private static final long DOUBT_AFTER_MICROS = 2_500_000;
+  private static final long ASK_EVERY_MICROS = 1_000_000;
+  private static final long BELIEVE_MICROS = 3_500_000;
+
+  private final Settings settings;
+  private final Ports ports;
+  private final Replica replica;
+  private State state = State.SERVED;
+  private long now;
+  private long servedMicros;
+  private long attestedMicros;
+  private long nextProbeMicros;
+  private long nextAskMicros;
+  private String leader;
+  private long leaderTerm;
+
+  StateReach(Settings settings, Ports ports, Replica replica) {
+    this.settings = settings;
+    this.ports = ports;
+    this.replica = replica;
+  }
+
+  boolean alone() {
+    return state == State.ALONE;
+  }
+
+  /** The leader that a served peer follows, where this node's own picture is older; else null. */
+  String newerLeader(long thanTerm) {
+    return state == State.ALONE && leaderTerm > thanTerm ? leader : null;
+  }
+
+  long newerTerm() {
+    return state == State.ALONE ? leaderTerm : 0;
+  }
+
+  /** What this node tells a peer that asks. */
+  Answer.Standing standing() {
+    Replica.Leader known = replica.leader();
+    return new Answer.Standing(state == State.SERVED && replica.loaded(), known == null ? null : known.node(),
+        known == null ? 0 : known.term());
+  }
+
+  /** An answer came from the state service, or none did. */
+  void replied(Request request, Reply reply) {
+    boolean ofState = request instanceof Request.StoreTxn || request instanceof Request.StoreGet
+        || request instanceof Request.StoreList || request instanceof Request.StoreWatch
+        || request instanceof Request.LeaseGrant || request instanceof Request.LeaseTouch;
+    boolean refused = reply instanceof Reply.Lost || reply instanceof Reply.Refused r && r.status() == 503;
+    if (ofState && !refused) {
+      servedMicros = now;
+      become(State.SERVED);
+    }
+  }
+
+  void tick(long nowMicros) {
+    if (now == 0) {
+      servedMicros = nowMicros;
+    }
+    now = nowMicros;
+    if (now < servedMicros + PROBE_AFTER_MICROS) {
+      return;
+    }
+    if (now >= nextProbeMicros) {
+      nextProbeMicros = now + PROBE_AFTER_MICROS;
+      ports.call(new Request.StoreGet(Records.LEADER), reply -> { });
+    }
+    if (now < servedMicros + DOUBT_AFTER_MICROS) {
+      return;
+    }
+    if (state == State.SERVED || state == State.ALONE && now > attestedMicros + BELIEVE_MICROS) {
+      become(State.DOUBTED);
+    }
+    if (now >= nextAskMicros) {
+      nextAskMicros = now + ASK_EVERY_MICROS;
+      settings.peers().forEach(this::ask);
+    }
+  }
+
+  private void ask(String peer) {
+    ports.call(new Request.PeerAsk(peer), reply -> {
+      if (state != State.SERVED && reply instanceof Reply.PeerStanding standing && standing.served()) {
+        attestedMicros = now;
+        if (standing.term() >= leaderTerm) {
+          leaderTerm = standing.term();
+          leader = standing.leader();
+        }
+        become(State.ALONE);
+      }
+    });
+  }
+
+  /** The one function for every change of state. */
+  private void become(State next) {
+    if (next != state) {
+      ports.info("state service: " + state + " -> " + next);
+      state = next;
+    }
+  }
+}
--- a/src/main/java/org/eiderstair/http/Inbound.java
+++ b/src/main/java/org/eiderstair/http/Inbound.java
@@ -70,8 +70,12 @@
     return true;
   }
 
-  /** Only relays come over the peer link, and they come in Avro. */
+  /** Relays and questions about the state service come over the peer link, in Avro. */
   private void peer(Exchange exchange, Request request, String path, String method) {
+    if (path.equals(PeerMessages.STANDING_PATH)) {
+      with(exchange, method, "GET", id -> events.accept(new Event.PeerAsked(id)));
+      return;
+    }
     if (!path.equals(PeerMessages.RELAY_PATH)) {
       fail(exchange, 404, "no such path");
       return;
@@ -162,7 +166,9 @@
     if (exchange == null) {
       return;
     }
-    if (exchange.ofPeer()) {
+    if (answer instanceof Answer.Standing standing) {
+      write(exchange, 200, PeerMessages.standing(standing));
+    } else if (exchange.ofPeer()) {
       write(exchange, 200, PeerMessages.answer(answer));
     } else if (answer instanceof Answer.JobView view) {
       write(exchange, view.status(), UserMessages.view(view));
--- a/src/main/java/org/eiderstair/http/Outbound.java
+++ b/src/main/java/org/eiderstair/http/Outbound.java
@@ -65,8 +65,8 @@
   private final Map<String, Target> peers = new HashMap<>();
   private final BiConsumer<Long, Reply> replies;
 
-  public Outbound(String stateAddress, String cloudAddress, Map<String, String> peerAddresses, Executor executor, Scheduler scheduler,
-      ArrayByteBufferPool buffers, BiConsumer<Long, Reply> replies) throws Exception {
+  public Outbound(String stateAddress, String cloudAddress, Map<String, String> peerAddresses, Executor executor,
+      Scheduler scheduler, ArrayByteBufferPool buffers, BiConsumer<Long, Reply> replies) throws Exception {
     this.state = Target.of(stateAddress);
     this.cloud = Target.of(cloudAddress);
     this.replies = replies;
@@ -145,28 +145,34 @@
           m -> new Reply.Report(WorkerMessages.report(m), true),
           m -> new Reply.Report(WorkerMessages.report(m), false));
     } else if (request instanceof Request.PeerRelay relay) {
-      relay(call, relay);
+      peer(call, relay.peer(), HttpMethod.POST, PeerMessages.RELAY_PATH, PeerMessages.report(relay.report()),
+          content -> new Reply.Relayed(PeerMessages.answer(content)));
+    } else if (request instanceof Request.PeerAsk ask) {
+      peer(call, ask.peer(), HttpMethod.GET, PeerMessages.STANDING_PATH, null, PeerMessages::standing);
     } else {
       throw new IllegalArgumentException("no way to send " + request);
     }
   }
 
-  private void relay(long call, Request.PeerRelay relay) {
-    Target target = peers.get(relay.peer());
+  /** How a peer's 200 is read. */
+  private interface PeerReader {
+    Reply read(byte[] content) throws Malformed;
+  }
+
+  private void peer(long call, String name, HttpMethod method, String path, byte[] body, PeerReader reader) {
+    Target target = peers.get(name);
     if (target == null) {
-      replies.accept(call, new Reply.Lost("unknown node " + relay.peer()));
+      replies.accept(call, new Reply.Lost("unknown node " + name));
       return;
     }
-    send(target, HttpMethod.POST, PeerMessages.RELAY_PATH, PeerMessages.report(relay.report()), PEER_MICROS,
-        (status, content) -> {
-          try {
-            replies.accept(call, status == 200 ? new Reply.Relayed(PeerMessages.answer(content))
-                : new Reply.Refused(status));
-          } catch (Malformed e) {
-            LOG.error("unreadable answer of {}: {}", relay.peer(), e.getMessage());
-            replies.accept(call, new Reply.Lost(e.getMessage()));
-          }
-        }, why -> replies.accept(call, new Reply.Lost(why)));
+    send(target, method, path, body, PEER_MICROS, (status, content) -> {
+      try {
+        replies.accept(call, status == 200 ? reader.read(content) : new Reply.Refused(status));
+      } catch (Malformed e) {
+        LOG.error("unreadable answer of {}: {}", name, e.getMessage());
+        replies.accept(call, new Reply.Lost(e.getMessage()));
+      }
+    }, why -> replies.accept(call, new Reply.Lost(why)));
   }
 
   private static String encode(String text) {
--- a/src/main/java/org/eiderstair/peer/PeerMessages.java
+++ b/src/main/java/org/eiderstair/peer/PeerMessages.java
@@ -8,7 +8,9 @@
 import org.eiderstair.core.Answer;
 import org.eiderstair.core.MachineReport;
 import org.eiderstair.core.Order;
+import org.eiderstair.core.Reply;
 import org.eiderstair.core.TaskId;
+import org.eiderstair.peer.wire.PeerStanding;
 import org.eiderstair.peer.wire.RelayedAnswer;
 import org.eiderstair.peer.wire.RelayedExit;
 import org.eiderstair.peer.wire.RelayedOrder;
@@ -24,6 +26,7 @@
  */
 public final class PeerMessages {
   public static final String RELAY_PATH = "/peer/relay";
+  public static final String STANDING_PATH = "/peer/standing";
   public static final int MOST_BYTES = 128 * 1024;
 
   private PeerMessages() {}
@@ -103,6 +106,24 @@
     }
   }
 
+  public static byte[] standing(Answer.Standing standing) {
+    try {
+      return bytes(PeerStanding.getEncoder().encode(
+          new PeerStanding(standing.served(), standing.leader(), standing.term())));
+    } catch (IOException e) {
+      throw new IllegalStateException("encoding to memory failed", e);
+    }
+  }
+
+  public static Reply.PeerStanding standing(byte[] bytes) throws Malformed {
+    try {
+      PeerStanding s = PeerStanding.getDecoder().decode(bytes);
+      return new Reply.PeerStanding(s.getServed(), s.getLeader(), s.getTerm());
+    } catch (IOException | AvroRuntimeException | IndexOutOfBoundsException e) {
+      throw new Malformed("not a peer's standing: " + e.getMessage());
+    }
+  }
+
   private static byte[] bytes(ByteBuffer buffer) {
     byte[] bytes = new byte[buffer.remaining()];
     buffer.get(bytes);
--- /dev/null
+++ b/src/test/java/org/eiderstair/core/StateReachTest.java
@@ -0,0 +1,57 @@
+package org.eiderstair.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Example;
+
+/** A refusal that only this node gets against an outage for all. */
+class StateReachTest {
+  private static final long SECOND = 1_000_000;
+  private final Settings settings = new Settings("n0", List.of("n1", "n2"), List.of("a"), Map.of(), List.of(),
+      3 * SECOND, 20 * SECOND, 40 * SECOND, 100, 50, 16, 5, Settings.Tuning.defaults());
+  private final List<Effect.Call> calls = new ArrayList<>();
+  private final Ports ports = new Ports(e -> {
+    if (e instanceof Effect.Call call) {
+      calls.add(call);
+    }
+  });
+  private final StateReach reach = new StateReach(settings, ports, new Replica(settings, ports, null));
+
+  private void pass(long seconds, Reply ofState, Reply ofPeers) {
+    ports.watch(reach::replied);
+    for (long s = 1; s <= seconds; s++) {
+      reach.tick(s * SECOND);
+      List<Effect.Call> made = List.copyOf(calls);
+      calls.clear();
+      made.forEach(c -> ports.replied(c.call(), c.request() instanceof Request.PeerAsk ? ofPeers : ofState));
+    }
+  }
+
+  /** Guards against a node that answers every user 503 for a minute and says that it is ready. */
+  @Example
+  void aNodeThatAloneIsRefusedLearnsItFromItsPeers() {
+    pass(6, new Reply.Refused(503), new Reply.PeerStanding(true, "n2", 9));
+    assertTrue(reach.alone());
+    assertEquals("n2", reach.newerLeader(8));
+    pass(1, new Reply.Found(null), null);
+    assertFalse(reach.alone());
+  }
+
+  /** In an outage nobody is better off elsewhere, so nobody steps back. */
+  @Example
+  void inAnOutageNobodyIsAlone() {
+    pass(30, new Reply.Refused(503), new Reply.PeerStanding(false, null, 0));
+    assertFalse(reach.alone());
+  }
+
+  @Example
+  void peersThatDoNotAnswerProveNothing() {
+    pass(30, new Reply.Lost("timeout"), new Reply.Lost("refused"));
+    assertFalse(reach.alone());
+  }
+}
--- a/src/test/java/org/eiderstair/sim/Day.java
+++ b/src/test/java/org/eiderstair/sim/Day.java
@@ -195,6 +195,17 @@
           peer.handle(new Event.Reported(peer.lastExchange, relay.report(), true));
         }
       });
+    } else if (request instanceof Request.PeerAsk ask) {
+      Node peer = nodes[indexOf(ask.peer())];
+      net.send(from.name(), peer.name(), () -> {
+        if (peer.core != null) {
+          peer.exchanges.put(++peer.lastExchange, answer -> net.send(peer.name(), from.name(), () -> {
+            Answer.Standing s = (Answer.Standing) answer;
+            reply.accept(new Reply.PeerStanding(s.served(), s.leader(), s.term()));
+          }));
+          peer.handle(new Event.PeerAsked(peer.lastExchange));
+        }
+      });
     } else if (request instanceof Request.CloudRent || request instanceof Request.CloudDelete
         || request instanceof Request.CloudList || request instanceof Request.CloudCatalog) {
       net.send(from.name(), "cloud", () -> cloud(request, r -> net.send("cloud", from.name(), () -> reply.accept(r))));
