A start asks for no locales, dates, URIs or tables of file types

Cause: with all code interpreted, 31 of 156 samples of a controller's first 20 s lay in Locale.getAvailableLocales, called by Jetty's table of MIME types when its parser is first used; then dates (HttpFields), host and port fields, and the properties with 190 file types. The parser stays Jetty's: its own table of header fields (about 50 ms locally) is what is left.

--- a/src/main/java/org/eiderstair/cli/Main.java
+++ b/src/main/java/org/eiderstair/cli/Main.java
@@ -35,6 +35,7 @@
   private Main() {}
 
   public static void main(String[] args) {
+    noLocales();
     setUpLogging();
     int code;
     try {
@@ -136,6 +137,14 @@
     }
   }
 
+  /**
+   * Nothing here speaks a human language, but Jetty's table of MIME types asks for every locale that the JVM knows: that
+   * took a fifth of all bytecodes that a controller interprets until it leads. Without providers there is only the root.
+   */
+  private static void noLocales() {
+    System.setProperty("java.locale.providers", "SPI");
+  }
+
   private static void setUpLogging() {
     String level = System.getenv().getOrDefault("LOG_LEVEL", "info").toLowerCase(Locale.ROOT);
     System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", "error");
--- a/src/main/java/org/eiderstair/http/AskedConnection.java
+++ b/src/main/java/org/eiderstair/http/AskedConnection.java
@@ -6,7 +6,6 @@
 import org.eclipse.jetty.http.HttpCompliance;
 import org.eclipse.jetty.http.HttpException;
 import org.eclipse.jetty.http.HttpField;
-import org.eclipse.jetty.http.HttpGenerator;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpParser;
 import org.eclipse.jetty.http.HttpVersion;
@@ -21,6 +20,7 @@
   private enum State { FREE, ASKING, CLOSED }
 
   private static final int MOST_HEAD = 8 * 1024;
+  private static final byte[] NO_BODY = new byte[0];
 
   /** Told what became of a connection; the exchange is null when there was none. */
   interface Owner {
@@ -35,7 +35,6 @@
   private final Callback fillable =
       Callback.from(Invocable.InvocationType.NON_BLOCKING, this::onFillable, this::onFillInterestedFailed);
   private final HttpParser parser = new HttpParser(this, MOST_HEAD, HttpCompliance.RFC7230);
-  private final HttpGenerator generator = new HttpGenerator();
   private final Body body = new Body();
   final Destination destination;
   private State state = State.FREE;
@@ -70,14 +69,9 @@
       exchange = next;
     }
     ByteBuffer head = Buffers.out();
-    try {
-      generator.generateRequest(next.request(), head, null, ByteBuffer.wrap(next.body()), true);
-    } catch (IOException | RuntimeException e) {
-      close();
-      return true;
-    }
-    generator.reset();
-    Buffers.write(getEndPoint(), head, next.body(), new Callback() {
+    byte[] content = next.body() == null ? NO_BODY : next.body();
+    Heads.request(head, next.method(), next.path(), destination.address, content.length, next.body() != null);
+    Buffers.write(getEndPoint(), head, content, new Callback() {
       @Override
       public void failed(Throwable why) {
         close();
--- a/src/main/java/org/eiderstair/http/Exchange.java
+++ b/src/main/java/org/eiderstair/http/Exchange.java
@@ -1,7 +1,5 @@
 package org.eiderstair.http;
 
-import org.eclipse.jetty.http.MetaData;
-
 /** A request on its way, until its response has come, or its time or its connection is over. */
 final class Exchange {
   static final int MOST_BYTES = 8 * 1024 * 1024;
@@ -14,7 +12,8 @@
   }
 
   private final Destination destination;
-  private final MetaData.Request request;
+  private final String method;
+  private final String path;
   private final byte[] body;
   private final Outcome outcome;
   final long deadlineMicros;
@@ -22,9 +21,11 @@
   AskedConnection connection;
   boolean over;
 
-  Exchange(Destination destination, MetaData.Request request, byte[] body, long deadlineMicros, Outcome outcome) {
+  /** The body is null when there is none. */
+  Exchange(Destination destination, String method, String path, byte[] body, long deadlineMicros, Outcome outcome) {
     this.destination = destination;
-    this.request = request;
+    this.method = method;
+    this.path = path;
     this.body = body;
     this.deadlineMicros = deadlineMicros;
     this.outcome = outcome;
@@ -34,8 +35,12 @@
     return destination;
   }
 
-  MetaData.Request request() {
-    return request;
+  String method() {
+    return method;
+  }
+
+  String path() {
+    return path;
   }
 
   byte[] body() {
--- a/src/main/java/org/eiderstair/http/Inbound.java
+++ b/src/main/java/org/eiderstair/http/Inbound.java
@@ -6,10 +6,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
-import org.eclipse.jetty.http.HttpField;
-import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.http.PreEncodedHttpField;
 import org.eiderstair.core.Answer;
 import org.eiderstair.core.Event;
 import org.eiderstair.core.JobSpec;
@@ -21,8 +17,6 @@
 
 /** Serves users, workers and health checks: turns requests into events, and the core's answers into responses. */
 public final class Inbound {
-  private static final HttpField TYPE = new PreEncodedHttpField(HttpHeader.CONTENT_TYPE, "application/msgpack");
-  private static final HttpFields PLAIN = HttpFields.build().add(TYPE).asImmutable();
   /** For what is refused before the core has seen it. */
   private static final int RETRY_AFTER_S = 1;
 
@@ -66,9 +60,7 @@
   private abstract class Served implements ServedConnection.Requests {
     @Override
     public void refuse(ServedConnection from, String method, String path, int status, String why) {
-      HttpFields fields = status != 503 ? PLAIN
-          : HttpFields.build(PLAIN).put(HttpHeader.RETRY_AFTER, Integer.toString(RETRY_AFTER_S));
-      from.answer(status, fields, UserMessages.error(why), true);
+      from.answer(status, status == 503 ? RETRY_AFTER_S : 0, null, UserMessages.error(why), true);
     }
 
     @Override
@@ -145,8 +137,7 @@
 
   private void with(Open exchange, String method, String allowed, byte[] body, BodyUse then) {
     if (!method.equals(allowed)) {
-      exchange.connection().answer(405, HttpFields.build(PLAIN).put(HttpHeader.ALLOW, allowed),
-          UserMessages.error("method not allowed"), false);
+      exchange.connection().answer(405, 0, allowed, UserMessages.error("method not allowed"), false);
       return;
     }
     long id = lastExchange.incrementAndGet();
@@ -189,11 +180,8 @@
       write(to, 421, WorkerMessages.redirect(redirect.node()));
     } else if (answer instanceof Answer.Ready ready) {
       write(to, ready.ready() ? 200 : 503, NOTHING);
-    } else if (answer instanceof Answer.Failure failure && failure.retryAfterS() > 0) {
-      to.answer(failure.status(), HttpFields.build(PLAIN).put(HttpHeader.RETRY_AFTER,
-          Integer.toString(failure.retryAfterS())), UserMessages.error(failure.reason()), false);
     } else if (answer instanceof Answer.Failure failure) {
-      fail(to, failure.status(), failure.reason());
+      to.answer(failure.status(), failure.retryAfterS(), null, UserMessages.error(failure.reason()), false);
     }
   }
 
@@ -202,6 +190,6 @@
   }
 
   private static void write(ServedConnection to, int status, byte[] body) {
-    to.answer(status, PLAIN, body, false);
+    to.answer(status, 0, null, body, false);
   }
 }
--- a/src/main/java/org/eiderstair/http/Outbound.java
+++ b/src/main/java/org/eiderstair/http/Outbound.java
@@ -11,10 +11,6 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
-import org.eclipse.jetty.http.HttpMethod;
-import org.eclipse.jetty.http.HttpURI;
-import org.eclipse.jetty.http.HttpVersion;
-import org.eclipse.jetty.http.MetaData;
 import org.eiderstair.core.Reply;
 import org.eiderstair.core.Request;
 import org.eiderstair.peer.PeerMessages;
@@ -34,6 +30,8 @@
 public final class Outbound implements AskedConnection.Owner {
   private static final Logger LOG = LoggerFactory.getLogger("eiderstair");
   private static final byte[] NO_BODY = new byte[0];
+  private static final String GET = "GET";
+  private static final String POST = "POST";
   private static final int MOST_CONNECTIONS = 16;
   private static final int MOST_WAITING = 512;
   private static final long EXPIRE_EVERY_MICROS = 100_000;
@@ -79,50 +77,50 @@
 
   private void dispatch(long call, Request request) {
     if (request instanceof Request.StoreTxn txn) {
-      exchange(call, state, HttpMethod.POST, "/txn", StoreMessages.txn(txn), STORE_MICROS, StoreMessages::applied,
+      exchange(call, state, POST, "/txn", StoreMessages.txn(txn), STORE_MICROS, StoreMessages::applied,
           StoreMessages::conflict);
     } else if (request instanceof Request.StoreWatch w) {
       String path = "/watch?Under=" + encode(w.prefix()) + "&From=" + w.after() + "&HoldMs=" + w.holdMicros() / 1000;
-      exchange(call, state, HttpMethod.GET, path, null, w.holdMicros() + STORE_MICROS, StoreMessages::changed, null);
+      exchange(call, state, GET, path, null, w.holdMicros() + STORE_MICROS, StoreMessages::changed, null);
     } else if (request instanceof Request.StoreGet get) {
-      exchange(call, state, HttpMethod.GET, "/store/" + get.key(), null, STORE_MICROS, StoreMessages::found, null);
+      exchange(call, state, GET, "/store/" + get.key(), null, STORE_MICROS, StoreMessages::found, null);
     } else if (request instanceof Request.StoreList list) {
       String path = "/store?Under=" + encode(list.prefix()) + "&Page=" + list.limit()
           + (list.after() == null ? "" : "&From=" + encode(list.after()));
-      exchange(call, state, HttpMethod.GET, path, null, 2 * STORE_MICROS, StoreMessages::listed, null);
+      exchange(call, state, GET, path, null, 2 * STORE_MICROS, StoreMessages::listed, null);
     } else if (request instanceof Request.LeaseGrant grant) {
-      exchange(call, state, HttpMethod.POST, "/leases", StoreMessages.lease(grant.ttlMicros()), STORE_MICROS,
+      exchange(call, state, POST, "/leases", StoreMessages.lease(grant.ttlMicros()), STORE_MICROS,
           StoreMessages::leaseGranted, null);
     } else if (request instanceof Request.LeaseTouch touch) {
-      exchange(call, state, HttpMethod.POST, "/leases/" + touch.lease() + "/touch", NO_BODY, STORE_MICROS,
+      exchange(call, state, POST, "/leases/" + touch.lease() + "/touch", NO_BODY, STORE_MICROS,
           m -> new Reply.Applied(0), null);
     } else if (request instanceof Request.LeaseDrop drop) {
-      exchange(call, state, HttpMethod.DELETE, "/leases/" + drop.lease(), null, STORE_MICROS,
+      exchange(call, state, "DELETE", "/leases/" + drop.lease(), null, STORE_MICROS,
           m -> new Reply.Applied(0), null);
     } else if (request instanceof Request.CloudCatalog) {
-      exchange(call, cloud, HttpMethod.GET, "/catalog", null, CLOUD_MICROS, CloudMessages::catalog, null);
+      exchange(call, cloud, GET, "/catalog", null, CLOUD_MICROS, CloudMessages::catalog, null);
     } else if (request instanceof Request.CloudRent rent) {
-      exchange(call, cloud, HttpMethod.POST, "/hosts", CloudMessages.rent(rent), CLOUD_MICROS, CloudMessages::rented,
+      exchange(call, cloud, POST, "/hosts", CloudMessages.rent(rent), CLOUD_MICROS, CloudMessages::rented,
           null);
     } else if (request instanceof Request.CloudDelete delete) {
-      exchange(call, cloud, HttpMethod.POST, "/hosts/delete", CloudMessages.delete(delete.machines()), CLOUD_MICROS,
+      exchange(call, cloud, POST, "/hosts/delete", CloudMessages.delete(delete.machines()), CLOUD_MICROS,
           m -> new Reply.Applied(0), null);
     } else if (request instanceof Request.CloudList list) {
       String path = "/hosts?Page=" + CloudMessages.PAGE + (list.after() == null ? "" : "&From=" + encode(list.after()));
-      exchange(call, cloud, HttpMethod.GET, path, null, CLOUD_MICROS, CloudMessages::machines, null);
+      exchange(call, cloud, GET, path, null, CLOUD_MICROS, CloudMessages::machines, null);
     } else if (request instanceof Request.WorkerStatus status) {
-      exchange(call, status.address(), HttpMethod.GET, "/status", null, WORKER_MICROS,
+      exchange(call, status.address(), GET, "/status", null, WORKER_MICROS,
           m -> new Reply.Report(WorkerMessages.report(m), false), null);
     } else if (request instanceof Request.WorkerCommands c) {
-      exchange(call, c.address(), HttpMethod.POST, "/commands",
+      exchange(call, c.address(), POST, "/commands",
           WorkerMessages.command(c.token(), c.session(), c.orders()), WORKER_MICROS,
           m -> new Reply.Report(WorkerMessages.report(m), true),
           m -> new Reply.Report(WorkerMessages.report(m), false));
     } else if (request instanceof Request.PeerRelay relay) {
-      peer(call, relay.peer(), HttpMethod.POST, PeerMessages.RELAY_PATH, PeerMessages.report(relay.report()),
+      peer(call, relay.peer(), POST, PeerMessages.RELAY_PATH, PeerMessages.report(relay.report()),
           content -> new Reply.Relayed(PeerMessages.answer(content)));
     } else if (request instanceof Request.PeerAsk ask) {
-      peer(call, ask.peer(), HttpMethod.GET, PeerMessages.STANDING_PATH, null, PeerMessages::standing);
+      peer(call, ask.peer(), GET, PeerMessages.STANDING_PATH, null, PeerMessages::standing);
     } else {
       throw new IllegalArgumentException("no way to send " + request);
     }
@@ -133,7 +131,7 @@
     Reply read(byte[] content) throws Malformed;
   }
 
-  private void peer(long call, String name, HttpMethod method, String path, byte[] body, PeerReader reader) {
+  private void peer(long call, String name, String method, String path, byte[] body, PeerReader reader) {
     String address = peers.get(name);
     if (address == null) {
       replies.accept(call, new Reply.Lost("unknown node " + name));
@@ -161,7 +159,7 @@
     return URLEncoder.encode(text, StandardCharsets.UTF_8);
   }
 
-  private void exchange(long call, String address, HttpMethod method, String path, byte[] body, long timeoutMicros,
+  private void exchange(long call, String address, String method, String path, byte[] body, long timeoutMicros,
       Reader ok, Reader conflict) {
     send(address, method, path, body, timeoutMicros, new Exchange.Outcome() {
       @Override
@@ -176,16 +174,14 @@
     });
   }
 
-  private void send(String address, HttpMethod method, String path, byte[] body, long timeoutMicros,
+  private void send(String address, String method, String path, byte[] body, long timeoutMicros,
       Exchange.Outcome outcome) {
     AskedConnection use;
     Exchange exchange;
     Destination connect = null;
     synchronized (this) {
       Destination to = destinations.computeIfAbsent(address, Destination::new);
-      MetaData.Request request = new MetaData.Request(method.asString(), HttpURI.from(path), HttpVersion.HTTP_1_1,
-          body == null ? to.plain : to.withBody, body == null ? 0 : body.length);
-      exchange = new Exchange(to, request, body == null ? NO_BODY : body, clock.getAsLong() + timeoutMicros, outcome);
+      exchange = new Exchange(to, method, path, body, clock.getAsLong() + timeoutMicros, outcome);
       use = to.free.poll();
       if (use != null) {
         exchange.connection = use;
--- a/src/main/java/org/eiderstair/http/ServedConnection.java
+++ b/src/main/java/org/eiderstair/http/ServedConnection.java
@@ -6,19 +6,16 @@
 import org.eclipse.jetty.http.HttpCompliance;
 import org.eclipse.jetty.http.HttpException;
 import org.eclipse.jetty.http.HttpField;
-import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.http.HttpGenerator;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpParser;
 import org.eclipse.jetty.http.HttpVersion;
-import org.eclipse.jetty.http.MetaData;
 import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Invocable;
 
 /**
- * One connection of a user, a worker or another controller, with Jetty's parser and generator straight on its
+ * One connection of a user, a worker or another controller, with Jetty's parser straight on its
  * endpoint: one request at a time, its body whole, its answer whole. Jetty's own server does a lot more for each
  * request, which a cold controller on a small machine cannot pay (figures in docs/operating.md).
  */
@@ -55,7 +52,6 @@
   private final Callback fillable =
       Callback.from(Invocable.InvocationType.NON_BLOCKING, this::onFillable, this::onFillInterestedFailed);
   private final HttpParser parser = new HttpParser(this, MOST_HEAD, HttpCompliance.RFC7230);
-  private final HttpGenerator generator = new HttpGenerator();
   private final Body body = new Body();
   private State state = State.READING;
   /** There was more to read while the answer was awaited. */
@@ -160,21 +156,14 @@
     requests.request(this, method, path, body.take());
   }
 
-  /** The one answer to the request that was handed over. */
-  void answer(int status, HttpFields fields, byte[] content, boolean last) {
+  /** The one answer to the request that was handed over; {@code allow} is null but for a wrong method. */
+  void answer(int status, int retryAfterS, String allow, byte[] content, boolean last) {
     if (is(State.CLOSED)) {
       return;
     }
     ByteBuffer head = Buffers.out();
     boolean close = last || !keep;
-    generator.setPersistent(!close);
-    try {
-      generator.generateResponse(new MetaData.Response(status, null, HttpVersion.HTTP_1_1, fields, content.length),
-          false, head, null, ByteBuffer.wrap(content), true);
-    } catch (IOException | RuntimeException e) {
-      close();
-      return;
-    }
+    Heads.response(head, status, retryAfterS, allow, content.length, close);
     Buffers.write(getEndPoint(), head, content, new Written(close));
   }
 
@@ -222,7 +211,6 @@
   }
 
   private void next() {
-    generator.reset();
     parser.reset();
     letGo();
     ByteBuffer more;
@@ -289,9 +277,8 @@
 
   private void goOn() {
     ByteBuffer head = Buffers.out();
+    Heads.goOn(head);
     try {
-      generator.generateResponse(HttpGenerator.CONTINUE_100_INFO, false, head, null, null, false);
-      generator.reset();
       getEndPoint().flush(head);
     } catch (IOException e) {
       close();
--- a/src/main/java/org/eiderstair/http/Sockets.java
+++ b/src/main/java/org/eiderstair/http/Sockets.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.eclipse.jetty.io.ArrayByteBufferPool;
@@ -84,7 +85,10 @@
   private final ScheduledExecutorScheduler timer;
 
   public Sockets(Executor executor) throws Exception {
-    timer = new ScheduledExecutorScheduler("timer", true);
+    // Its own executor would name threads by text that the JVM first has to learn to join: 6 ms of a start.
+    ScheduledThreadPoolExecutor timers = new ScheduledThreadPoolExecutor(1, Sockets::timerThread);
+    timers.setRemoveOnCancelPolicy(true);
+    timer = new ScheduledExecutorScheduler(timers);
     timer.start();
     setSelectors(1);
     setExecutor(executor);
@@ -96,6 +100,12 @@
     start();
   }
 
+  private static Thread timerThread(Runnable work) {
+    Thread made = new Thread(work, "timer");
+    made.setDaemon(true);
+    return made;
+  }
+
   /** Listens on an address, for at most so many connections at once; says on which port, if the system chose it. */
   int listen(String host, int number, int most, ServedConnection.Requests requests) throws IOException {
     ServerSocketChannel channel = ServerSocketChannel.open();
