--- a/src/test/java/org/eiderstair/core/AllocationTest.java
+++ b/src/test/java/org/eiderstair/core/AllocationTest.java
@@ -111,13 +111,19 @@
 
   @Example
   void aChangeInTheWatch() throws Malformed {
-    LeaderBench bench = busy(50);
+    for (int machines : new int[] {50, 500, 2000}) {
+      aChangeInTheWatch(machines);
+    }
+  }
+
+  private static void aChangeInTheWatch(int machines) throws Malformed {
+    LeaderBench bench = busy(machines);
     List<byte[]> news = new ArrayList<>();
     for (int i = 0; i < 2 * ROUNDS; i++) {
       news.add(Pack.write(Map.of("LedgerRev", 100L + i, "News", List.of(Map.of("Put", "e/prog/" + firstJob(bench).id,
           "Data", Records.progress(firstJob(bench).done, 3), "Stamp", 100L + i)))));
     }
-    within("watch change", 50, bytes(i -> {
+    within("watch change", machines, bytes(i -> {
       Reply.Changed changed = (Reply.Changed) StoreMessages.changed(Pack.readMap(news.get(i)));
       changed.changes().forEach(bench.replica::apply);
     }), 1800);
@@ -129,7 +135,13 @@
 
   @Example
   void aSubmissionAndAPoll() throws Malformed {
-    LeaderBench bench = busy(50);
+    for (int machines : new int[] {50, 500, 2000}) {
+      aSubmissionAndAPoll(machines);
+    }
+  }
+
+  private static void aSubmissionAndAPoll(int machines) throws Malformed {
+    LeaderBench bench = busy(machines);
     bench.replica.apply(new Reply.Item(Records.CATALOG, Records.catalog(List.of(LeaderBench.TYPE)), 2));
     bench.load();
     Desk desk = new Desk(bench.settings, bench.ports, bench.replica);
@@ -141,7 +153,7 @@
           "GuessS", 2.0, "CairnEveryS", 0.0, "CairnS", 0.0));
       bodies.add(Pack.write(m));
     }
-    within("submission", 50, bytes(i -> {
+    within("submission", machines, bytes(i -> {
       Map<String, Object> message = Pack.readMap(bodies.get(i));
       desk.submit(1, UserMessages.id(message), UserMessages.spec(message), null);
       Effect.Call call = (Effect.Call) bench.effects.get(bench.effects.size() - 1);
@@ -152,7 +164,7 @@
       bench.effects.clear();
     }), 12_500);
     long[] now = {1_000_000};
-    within("poll", 50, bytes(i -> {
+    within("poll", machines, bytes(i -> {
       desk.tick(now[0] += 1_000_000);
       desk.poll(1, "job-" + (500_000 + i));
       desk.tick(now[0] += 1_000_000);
