--- a/src/main/java/org/eiderstair/cli/Main.java
+++ b/src/main/java/org/eiderstair/cli/Main.java
@@ -27,8 +27,7 @@
       "check", "check settings and exit",
       "submit", "submit the job described in a JSON file",
       "show", "show a job",
-      "cancel", "cancel a job",
-      "rehearse", "used by the build: record the classes of a start");
+      "cancel", "cancel a job");
 
   private Main() {}
 
@@ -77,9 +76,6 @@
       case "show":
       case "cancel":
         return user(args[0], rest);
-      case "rehearse":
-        Rehearsal.run();
-        return 0;
       default:
         throw new Usage("unknown command " + args[0] + "; see --help");
     }
--- /dev/null
+++ b/src/test/java/org/eiderstair/node/Rehearsal.java
@@ -0,0 +1,268 @@
+package org.eiderstair.node;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.BufferingResponseListener;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpMethod;
+import org.eiderstair.protocol.Malformed;
+import org.eiderstair.protocol.Pack;
+
+/**
+ * Lets a controller, a process of its own, live through what one does: follow another, pass on a worker's reports,
+ * take over, lead a fleet. The build records the classes for the archive from it; with more machines and a longer life
+ * it tells what each part of that life costs in processor time (docs/operating.md).
+ */
+public final class Rehearsal {
+  private static final String SETTINGS = """
+      node = "rehearsal"
+      bind = "127.0.0.1:%1$d"
+      peer_bind = "127.0.0.1:%2$d"
+      [[others]]
+      node = "other"
+      address = "127.0.0.1:%3$d"
+      [endpoints]
+      cloud = "127.0.0.1:%3$d"
+      state = "127.0.0.1:%3$d"
+      [settings]
+      zones = ["z"]
+      [[settings.teams]]
+      name = "red"
+      cpus = 4.0
+      cpus_max = 100000.0
+      [[settings.objectives]]
+      kind = "wait"
+      class = "c"
+      within_s = 5.0
+      share = 0.9
+      [settings.workers]
+      report_s = 3.0
+      lease_s = 20.0
+      cancel_s = 40.0
+      [settings.state]
+      rps = 200.0
+      write_rps = 100.0
+      value_kb = 32.0
+      txn_ops = 16
+      [settings.cloud]
+      rps = 20.0
+      list_lag_s = 5.0
+      [settings.resources]
+      cpu = 1.0
+      mem_mb = 171.0
+      max_connections = 1500
+      """;
+
+  /** The build wants no figures and no logs. */
+  private static final boolean QUIET = Boolean.getBoolean("quiet");
+
+  private final StandIn region;
+  private final Process process;
+  private final String base;
+  private final HttpClient http = new HttpClient();
+  private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
+  private final long reportMillis;
+  private final Map<String, StandIn.Machine> reporting = new HashMap<>();
+  private final List<String> polled = new ArrayList<>();
+  private long answered;
+  private long jobs;
+  private long cpuMillis;
+  private long answeredBefore;
+
+  private Rehearsal(StandIn region, Process process, int port, long reportMillis) throws Exception {
+    this.region = region;
+    this.process = process;
+    this.base = "http://127.0.0.1:" + port;
+    this.reportMillis = reportMillis;
+    http.setMaxConnectionsPerDestination(4);
+    http.start();
+  }
+
+  /** Arguments: machines, seconds of leading, jobs a minute, then the command line of the controller. */
+  public static void main(String[] args) throws Exception {
+    int machines = Integer.parseInt(args[0]);
+    int seconds = Integer.parseInt(args[1]);
+    int jobsPerMinute = Integer.parseInt(args[2]);
+    int port = freePort();
+    Path file = Files.createTempFile("eiderstair", ".toml");
+    try (StandIn region = new StandIn(machines, 2000)) {
+      Files.writeString(file, String.format(SETTINGS, port, freePort(), region.port()));
+      region.put("e/leader", Map.of("node", "other", "lease", 1L, "run", "other-1"));
+      region.rentedEarlier(machines / 2);
+      List<String> command = new ArrayList<>(List.of(args).subList(3, args.length));
+      command.addAll(List.of("serve", "--config", file.toString()));
+      ProcessBuilder start = new ProcessBuilder(command).inheritIO();
+      if (QUIET) {
+        start.redirectError(ProcessBuilder.Redirect.DISCARD).redirectOutput(ProcessBuilder.Redirect.DISCARD);
+      }
+      Process process = start.start();
+      Rehearsal life = new Rehearsal(region, process, port, machines > 20 ? 3000 : 300);
+      try {
+        life.live(seconds, jobsPerMinute);
+      } finally {
+        process.destroy();
+        process.waitFor(30, TimeUnit.SECONDS);
+        life.timer.shutdownNow();
+        life.http.stop();
+      }
+    } finally {
+      Files.delete(file);
+    }
+    System.exit(0);
+  }
+
+  private void live(int seconds, int jobsPerMinute) throws Exception {
+    while (status(HttpMethod.GET, "/ready", null) != 200) {
+      Thread.sleep(20);
+    }
+    phase("start until ready");
+    // A worker that is soon back cannot reach the leader: its reports are passed on.
+    StandIn.Machine first = region.machines().get(0);
+    for (int i = 0; i < 3; i++) {
+      status(HttpMethod.POST, "/agent/beat", Pack.write(first.report()));
+    }
+    phase("follower: three reports, " + region.relayed() + " relayed");
+    region.put("e/leader", null);
+    timer.scheduleAtFixedRate(this::reports, 0, 10, TimeUnit.MILLISECONDS);
+    timer.scheduleAtFixedRate(this::submit, 0, 60_000 / jobsPerMinute, TimeUnit.MILLISECONDS);
+    timer.scheduleAtFixedRate(this::poll, 500, 5000 / Math.max(1, jobsPerMinute / 6), TimeUnit.MILLISECONDS);
+    for (int i = 0; i < Math.max(seconds, 1); i++) {
+      Thread.sleep(1000);
+      if (i < 3 || i % 10 == 9 || i == seconds - 1) {
+        phase("leading, second " + (i + 1) + ", machines " + reporting.size());
+      }
+    }
+    status(HttpMethod.POST, "/work/job-000001/cancel", null);
+    status(HttpMethod.POST, "/work/job-000002/cancel", null);
+  }
+
+  private long lastTick;
+
+  private synchronized void reports() {
+    long now = System.nanoTime() / 1_000_000;
+    for (StandIn.Machine m : region.machines()) {
+      if (reporting.putIfAbsent(m.id, m) == null) {
+        timer.schedule(() -> report(m), (long) (Math.random() * reportMillis), TimeUnit.MILLISECONDS);
+      }
+    }
+    lastTick = now;
+  }
+
+  private void report(StandIn.Machine m) {
+    http.newRequest(base + "/agent/beat").method(HttpMethod.POST).tag(m.id)
+        .body(new BytesRequestContent("application/msgpack", Pack.write(m.report())))
+        .timeout(4, TimeUnit.SECONDS).send(new BufferingResponseListener() {
+          @Override
+          public void onComplete(Result result) {
+            boolean soon = false;
+            try {
+              if (result.isSucceeded() && result.getResponse().getStatus() == 200) {
+                soon = m.obey(Pack.readMap(getContent()));
+                count();
+              }
+            } catch (Malformed e) {
+              System.err.println("rehearsal: unreadable answer: " + e.getMessage());
+            }
+            long pause = soon ? 500 : (long) (reportMillis * (0.75 + Math.random() / 2));
+            if (!timer.isShutdown()) {
+              timer.schedule(() -> report(m), pause, TimeUnit.MILLISECONDS);
+            }
+          }
+        });
+  }
+
+  private synchronized void count() {
+    answered++;
+  }
+
+  private synchronized void submit() {
+    String id = String.format("job-%06d", ++jobs);
+    Map<String, Object> m = new HashMap<>(Map.of("Id", id, "JobkindGroup", "c", "Crew", "red", "Shape", "sweep",
+        "Urgency", "normal", "Pieces", 12L, "Cores", 1.0, "Accelerators", 0.0, "MemoryGb", 1.0));
+    m.putAll(Map.of("Bundle", "img", "ImageGb", 0.1, "OneZone", false, "Scatter", false, "Driftwood", true,
+        "GuessS", 2.0, "CairnEveryS", 0.0, "CairnS", 0.0));
+    polled.add(id);
+    send(HttpMethod.POST, "/work", Pack.write(m));
+  }
+
+  private synchronized void poll() {
+    if (!polled.isEmpty()) {
+      send(HttpMethod.GET, "/work/" + polled.get((int) (Math.random() * polled.size())), null);
+    }
+  }
+
+  private void send(HttpMethod method, String path, byte[] body) {
+    var request = http.newRequest(base + path).method(method).timeout(4, TimeUnit.SECONDS);
+    (body == null ? request : request.body(new BytesRequestContent("application/msgpack", body))).send(r -> { });
+  }
+
+  private int status(HttpMethod method, String path, byte[] body) throws Exception {
+    try {
+      var request = http.newRequest(base + path).method(method).timeout(4, TimeUnit.SECONDS);
+      return (body == null ? request : request.body(new BytesRequestContent("application/msgpack", body)))
+          .send().getStatus();
+    } catch (java.util.concurrent.ExecutionException e) {
+      return 0;
+    }
+  }
+
+  /** Processor time since the phase before, as the system counts it in the process's status. */
+  private void phase(String what) throws IOException {
+    Path stat = Path.of("/proc/" + process.pid() + "/stat");
+    String[] fields = Files.readString(stat).replaceAll("^.*\\) ", "").split(" ");
+    long millis = 10 * (Long.parseLong(fields[11]) + Long.parseLong(fields[12]));
+    String rss = "";
+    for (String line : Files.readAllLines(Path.of("/proc/" + process.pid() + "/status"))) {
+      if (line.startsWith("VmRSS")) {
+        rss = line.substring(6).trim();
+      }
+    }
+    synchronized (this) {
+      if (!QUIET) {
+        System.out.println("rehearsal: " + what + ": " + (millis - cpuMillis) + " ms of processor time, "
+          + (answered - answeredBefore) + " reports answered, " + rss);
+      }
+      answeredBefore = answered;
+    }
+    cpuMillis = millis;
+    if (Boolean.getBoolean("threads")) {
+      Map<String, Long> now = new java.util.TreeMap<>();
+      try (var tasks = Files.list(Path.of("/proc/" + process.pid() + "/task"))) {
+        for (Path t : tasks.toList()) {
+          String name = Files.readString(t.resolve("comm")).trim();
+          long ns = Long.parseLong(Files.readString(t.resolve("schedstat")).split(" ")[0]);
+          now.merge(name, ns / 1000, Long::sum);
+        }
+      }
+      StringBuilder line = new StringBuilder("threads:");
+      now.forEach((n, us) -> {
+        long d = us - threadMicros.getOrDefault(n, 0L);
+        if (d > 1000) {
+          line.append(' ').append(n).append('=').append(d / 1000);
+        }
+      });
+      threadMicros = now;
+      System.out.println(line);
+    }
+  }
+
+  private Map<String, Long> threadMicros = new HashMap<>();
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return socket.getLocalPort();
+    }
+  }
+}
