--- a/src/main/java/org/eiderstair/cli/Main.java
+++ b/src/main/java/org/eiderstair/cli/Main.java
@@ -1,5 +1,8 @@
 package org.eiderstair.cli;
 
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
@@ -67,6 +70,7 @@
     String[] rest = Arrays.copyOfRange(args, 1, args.length);
     switch (args[0]) {
       case "serve":
+        System.setErr(new PrintStream(new LogStream(new FileOutputStream(FileDescriptor.err)), false));
         new Node(settings(rest)).join();
         return 0;
       case "check":
@@ -136,8 +140,6 @@
     String level = System.getenv().getOrDefault("LOG_LEVEL", "info").toLowerCase(Locale.ROOT);
     System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", "error");
     System.setProperty("org.slf4j.simpleLogger.log.eiderstair", level);
-    System.setProperty("org.slf4j.simpleLogger.showDateTime", "true");
-    System.setProperty("org.slf4j.simpleLogger.dateTimeFormat", "yyyy-MM-dd'T'HH:mm:ss.SSS");
     System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
   }
 }
--- /dev/null
+++ b/src/main/java/org/eiderstair/http/AskedConnection.java
@@ -0,0 +1,224 @@
+package org.eiderstair.http;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.concurrent.Executor;
+import org.eclipse.jetty.http.HttpCompliance;
+import org.eclipse.jetty.http.HttpException;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpGenerator;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpParser;
+import org.eclipse.jetty.http.HttpVersion;
+import org.eclipse.jetty.io.AbstractConnection;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.Invocable;
+
+/** One connection to the state service, the cloud, a worker or a peer: one exchange at a time. */
+final class AskedConnection extends AbstractConnection implements HttpParser.ResponseHandler {
+  /** FREE may take an exchange; ASKING waits for its response; CLOSED is over. */
+  private enum State { FREE, ASKING, CLOSED }
+
+  private static final int MOST_HEAD = 8 * 1024;
+
+  /** Told what became of a connection; the exchange is null when there was none. */
+  interface Owner {
+    void opened(AskedConnection connection);
+
+    void completed(AskedConnection connection, Exchange exchange, int status, byte[] content, boolean reusable);
+
+    void closed(AskedConnection connection, Exchange exchange, String why);
+  }
+
+  private final Owner owner;
+  private final Callback fillable =
+      Callback.from(Invocable.InvocationType.NON_BLOCKING, this::onFillable, this::onFillInterestedFailed);
+  private final HttpParser parser = new HttpParser(this, MOST_HEAD, HttpCompliance.RFC7230);
+  private final HttpGenerator generator = new HttpGenerator();
+  private final Body body = new Body();
+  final Destination destination;
+  private State state = State.FREE;
+  private Exchange exchange;
+  private int status;
+  private boolean keep;
+  private boolean whole;
+  private boolean interim;
+
+  AskedConnection(EndPoint endPoint, Executor executor, Destination destination, Owner owner) {
+    super(endPoint, executor);
+    this.destination = destination;
+    this.owner = owner;
+    parser.setHeaderCacheSize(0);
+  }
+
+  @Override
+  public void onOpen() {
+    super.onOpen();
+    // Always on, so that a connection that the other side ends is not used again.
+    fillInterested(fillable);
+    owner.opened(this);
+  }
+
+  /** Sends the request; false when the connection is over, and nothing was sent. */
+  boolean ask(Exchange next) {
+    synchronized (this) {
+      if (state != State.FREE) {
+        return false;
+      }
+      state = State.ASKING;
+      exchange = next;
+    }
+    ByteBuffer head = Buffers.out();
+    try {
+      generator.generateRequest(next.request(), head, null, ByteBuffer.wrap(next.body()), true);
+    } catch (IOException | RuntimeException e) {
+      close();
+      return true;
+    }
+    generator.reset();
+    Buffers.write(getEndPoint(), head, next.body(), new Callback() {
+      @Override
+      public void failed(Throwable why) {
+        close();
+      }
+
+      @Override
+      public InvocationType getInvocationType() {
+        return InvocationType.NON_BLOCKING;
+      }
+    });
+    return true;
+  }
+
+  @Override
+  public void onFillable() {
+    ByteBuffer buffer = Buffers.in();
+    int room = buffer.capacity();
+    int filled = room;
+    try {
+      while (filled == room) {
+        buffer.position(0).limit(0);
+        filled = getEndPoint().fill(buffer);
+        if (filled < 0) {
+          parser.atEOF();
+        }
+        read(buffer);
+        if (filled < 0) {
+          close();
+          return;
+        }
+      }
+    } catch (IOException | RuntimeException e) {
+      close();
+      return;
+    }
+    if (getEndPoint().isOpen()) {
+      fillInterested(fillable);
+    }
+  }
+
+  private void read(ByteBuffer buffer) {
+    while (true) {
+      boolean event = parser.parseNext(buffer);
+      if (interim) {
+        interim = false;
+        parser.reset();
+      } else if (whole) {
+        whole = false;
+        complete();
+      } else if (!buffer.hasRemaining() && !event) {
+        return;
+      }
+      if (!getEndPoint().isOpen()) {
+        return;
+      }
+    }
+  }
+
+  private void complete() {
+    Exchange done;
+    synchronized (this) {
+      done = exchange;
+      exchange = null;
+      keep &= state == State.ASKING;
+      if (state == State.ASKING) {
+        state = State.FREE;
+      }
+    }
+    parser.reset();
+    boolean reusable = keep;
+    owner.completed(this, done, status, body.take(), reusable);
+    if (!reusable) {
+      close();
+    }
+  }
+
+  @Override
+  public void onFillInterestedFailed(Throwable cause) {
+    close();
+  }
+
+  @Override
+  public void onClose(Throwable cause) {
+    super.onClose(cause);
+    Exchange lost;
+    synchronized (this) {
+      state = State.CLOSED;
+      lost = exchange;
+      exchange = null;
+    }
+    owner.closed(this, lost, cause == null ? "connection closed" : cause.toString());
+  }
+
+  // What the parser finds.
+
+  @Override
+  public void startResponse(HttpVersion version, int responseStatus, String reason) {
+    status = responseStatus;
+    keep = version == HttpVersion.HTTP_1_1;
+  }
+
+  @Override
+  public void parsedHeader(HttpField field) {
+    if (field.getHeader() == HttpHeader.CONNECTION && field.contains("close")) {
+      keep = false;
+    }
+  }
+
+  @Override
+  public boolean headerComplete() {
+    return false;
+  }
+
+  @Override
+  public boolean content(ByteBuffer chunk) {
+    if (!body.add(chunk, Exchange.MOST_BYTES)) {
+      close();
+      return true;
+    }
+    return false;
+  }
+
+  @Override
+  public boolean contentComplete() {
+    return false;
+  }
+
+  @Override
+  public boolean messageComplete() {
+    interim = status < 200;
+    whole = !interim;
+    return true;
+  }
+
+  @Override
+  public void earlyEOF() {
+    close();
+  }
+
+  @Override
+  public void badMessage(HttpException failure) {
+    close();
+  }
+}
--- a/src/main/java/org/eiderstair/http/Outbound.java
+++ b/src/main/java/org/eiderstair/http/Outbound.java
@@ -2,23 +2,19 @@
 
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
-import java.util.concurrent.Executor;
-import java.util.concurrent.TimeUnit;
+import java.util.Set;
 import java.util.function.BiConsumer;
-import java.util.function.Consumer;
-import org.eclipse.jetty.client.BufferingResponseListener;
-import org.eclipse.jetty.client.BytesRequestContent;
-import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.client.Result;
-import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import java.util.function.LongSupplier;
 import org.eclipse.jetty.http.HttpMethod;
-import org.eclipse.jetty.io.ArrayByteBufferPool;
-import org.eclipse.jetty.io.ClientConnector;
-import org.eclipse.jetty.util.SocketAddressResolver;
-import org.eclipse.jetty.util.ssl.SslContextFactory;
-import org.eclipse.jetty.util.thread.Scheduler;
+import org.eclipse.jetty.http.HttpURI;
+import org.eclipse.jetty.http.HttpVersion;
+import org.eclipse.jetty.http.MetaData;
 import org.eiderstair.core.Reply;
 import org.eiderstair.core.Request;
 import org.eiderstair.peer.PeerMessages;
@@ -30,10 +26,17 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Carries the core's requests to the state service, the cloud and workers, and brings back what came of them. */
-public final class Outbound implements AutoCloseable {
+/**
+ * Carries the core's requests to the state service, the cloud, workers and peers, and brings back what came of them.
+ * Connections are kept by destination, each with one exchange at a time; time that runs out is looked for by the thread
+ * that owns the core, which ticks anyhow, and costs no timers.
+ */
+public final class Outbound implements AskedConnection.Owner {
   private static final Logger LOG = LoggerFactory.getLogger("eiderstair");
-  private static final int MOST_BYTES = 8 * 1024 * 1024;
+  private static final byte[] NO_BODY = new byte[0];
+  private static final int MOST_CONNECTIONS = 16;
+  private static final int MOST_WAITING = 512;
+  private static final long EXPIRE_EVERY_MICROS = 100_000;
   private static final long STORE_MICROS = 2_000_000;
   private static final long CLOUD_MICROS = 5_000_000;
   private static final long WORKER_MICROS = 2_500_000;
@@ -44,54 +47,25 @@
     Reply read(Map<String, Object> message) throws Malformed;
   }
 
-  /** Everything here speaks plain HTTP: reading the system's certificates would cost a good part of a start. */
-  private static final class NoTls extends SslContextFactory.Client {
-    @Override
-    protected void doStart() {
-      // Nothing to load.
-    }
-  }
-
-  private record Target(String host, int port) {
-    static Target of(String address) {
-      int colon = address.lastIndexOf(':');
-      return new Target(address.substring(0, colon), Integer.parseInt(address, colon + 1, address.length(), 10));
-    }
-  }
-
-  private final HttpClient client;
-  private final Target state;
-  private final Target cloud;
-  private final Map<String, Target> peers = new HashMap<>();
+  private final Sockets sockets;
+  private final String state;
+  private final String cloud;
+  private final Map<String, String> peers;
+  private final LongSupplier clock;
   private final BiConsumer<Long, Reply> replies;
+  // Guarded by this: the core's thread asks, the selector's thread brings answers.
+  private final Map<String, Destination> destinations = new HashMap<>();
+  private final Set<Exchange> underWay = new LinkedHashSet<>();
+  private long nextExpireMicros;
 
-  public Outbound(String stateAddress, String cloudAddress, Map<String, String> peerAddresses, Executor executor,
-      Scheduler scheduler, ArrayByteBufferPool buffers, BiConsumer<Long, Reply> replies) throws Exception {
-    this.state = Target.of(stateAddress);
-    this.cloud = Target.of(cloudAddress);
+  public Outbound(Sockets sockets, String stateAddress, String cloudAddress, Map<String, String> peerAddresses,
+      LongSupplier clock, BiConsumer<Long, Reply> replies) {
+    this.sockets = sockets;
+    this.state = stateAddress;
+    this.cloud = cloudAddress;
+    this.peers = Map.copyOf(peerAddresses);
+    this.clock = clock;
     this.replies = replies;
-    peerAddresses.forEach((name, address) -> peers.put(name, Target.of(address)));
-    ClientConnector connector = new ClientConnector();
-    connector.setSelectors(1);
-    connector.setExecutor(executor);
-    connector.setScheduler(scheduler);
-    connector.setByteBufferPool(buffers);
-    connector.setSslContextFactory(new NoTls());
-    client = new HttpClient(new HttpClientTransportOverHTTP(connector));
-    client.setExecutor(executor);
-    client.setScheduler(scheduler);
-    client.setByteBufferPool(buffers);
-    client.setConnectTimeout(1500);
-    client.setIdleTimeout(90_000);
-    client.setMaxConnectionsPerDestination(16);
-    client.setMaxRequestsQueuedPerDestination(512);
-    client.setFollowRedirects(false);
-    client.setUserAgentField(null);
-    // Addresses are literals: no look-up, and no thread for one.
-    client.setSocketAddressResolver(new SocketAddressResolver.Sync());
-    client.start();
-    client.getProtocolHandlers().clear();
-    client.getContentDecoderFactories().clear();
   }
 
   public void send(long call, Request request) {
@@ -120,7 +94,7 @@
       exchange(call, state, HttpMethod.POST, "/leases", StoreMessages.lease(grant.ttlMicros()), STORE_MICROS,
           StoreMessages::leaseGranted, null);
     } else if (request instanceof Request.LeaseTouch touch) {
-      exchange(call, state, HttpMethod.POST, "/leases/" + touch.lease() + "/touch", new byte[0], STORE_MICROS,
+      exchange(call, state, HttpMethod.POST, "/leases/" + touch.lease() + "/touch", NO_BODY, STORE_MICROS,
           m -> new Reply.Applied(0), null);
     } else if (request instanceof Request.LeaseDrop drop) {
       exchange(call, state, HttpMethod.DELETE, "/leases/" + drop.lease(), null, STORE_MICROS,
@@ -137,10 +111,10 @@
       String path = "/hosts?Page=" + CloudMessages.PAGE + (list.after() == null ? "" : "&From=" + encode(list.after()));
       exchange(call, cloud, HttpMethod.GET, path, null, CLOUD_MICROS, CloudMessages::machines, null);
     } else if (request instanceof Request.WorkerStatus status) {
-      exchange(call, Target.of(status.address()), HttpMethod.GET, "/status", null, WORKER_MICROS,
+      exchange(call, status.address(), HttpMethod.GET, "/status", null, WORKER_MICROS,
           m -> new Reply.Report(WorkerMessages.report(m), false), null);
     } else if (request instanceof Request.WorkerCommands c) {
-      exchange(call, Target.of(c.address()), HttpMethod.POST, "/commands",
+      exchange(call, c.address(), HttpMethod.POST, "/commands",
           WorkerMessages.command(c.token(), c.session(), c.orders()), WORKER_MICROS,
           m -> new Reply.Report(WorkerMessages.report(m), true),
           m -> new Reply.Report(WorkerMessages.report(m), false));
@@ -160,54 +134,215 @@
   }
 
   private void peer(long call, String name, HttpMethod method, String path, byte[] body, PeerReader reader) {
-    Target target = peers.get(name);
-    if (target == null) {
+    String address = peers.get(name);
+    if (address == null) {
       replies.accept(call, new Reply.Lost("unknown node " + name));
       return;
     }
-    send(target, method, path, body, PEER_MICROS, (status, content) -> {
-      try {
-        replies.accept(call, status == 200 ? reader.read(content) : new Reply.Refused(status));
-      } catch (Malformed e) {
-        LOG.error("unreadable answer of {}: {}", name, e.getMessage());
-        replies.accept(call, new Reply.Lost(e.getMessage()));
+    send(address, method, path, body, PEER_MICROS, new Exchange.Outcome() {
+      @Override
+      public void completed(int status, byte[] content) {
+        try {
+          replies.accept(call, status == 200 ? reader.read(content) : new Reply.Refused(status));
+        } catch (Malformed e) {
+          LOG.error("unreadable answer of {}: {}", name, e.getMessage());
+          replies.accept(call, new Reply.Lost(e.getMessage()));
+        }
+      }
+
+      @Override
+      public void failed(String why) {
+        replies.accept(call, new Reply.Lost(why));
       }
-    }, why -> replies.accept(call, new Reply.Lost(why)));
+    });
   }
 
   private static String encode(String text) {
     return URLEncoder.encode(text, StandardCharsets.UTF_8);
   }
 
-  private void exchange(long call, Target target, HttpMethod method, String path, byte[] body, long timeoutMicros,
+  private void exchange(long call, String address, HttpMethod method, String path, byte[] body, long timeoutMicros,
       Reader ok, Reader conflict) {
-    send(target, method, path, body, timeoutMicros,
-        (status, content) -> replies.accept(call, read(status, content, path, ok, conflict)),
-        why -> replies.accept(call, new Reply.Lost(why)));
+    send(address, method, path, body, timeoutMicros, new Exchange.Outcome() {
+      @Override
+      public void completed(int status, byte[] content) {
+        replies.accept(call, read(status, content, path, ok, conflict));
+      }
+
+      @Override
+      public void failed(String why) {
+        replies.accept(call, new Reply.Lost(why));
+      }
+    });
   }
 
-  /** What to do with a complete response. */
-  private interface Completion {
-    void accept(int status, byte[] content);
+  private void send(String address, HttpMethod method, String path, byte[] body, long timeoutMicros,
+      Exchange.Outcome outcome) {
+    AskedConnection use;
+    Exchange exchange;
+    Destination connect = null;
+    synchronized (this) {
+      Destination to = destinations.computeIfAbsent(address, Destination::new);
+      MetaData.Request request = new MetaData.Request(method.asString(), HttpURI.from(path), HttpVersion.HTTP_1_1,
+          body == null ? to.plain : to.withBody, body == null ? 0 : body.length);
+      exchange = new Exchange(to, request, body == null ? NO_BODY : body, clock.getAsLong() + timeoutMicros, outcome);
+      use = to.free.poll();
+      if (use != null) {
+        exchange.connection = use;
+      } else if (to.waiting.size() >= MOST_WAITING) {
+        exchange.over = true;
+      } else {
+        to.waiting.add(exchange);
+        connect = wantsConnection(to);
+      }
+      if (!exchange.over) {
+        underWay.add(exchange);
+      }
+    }
+    if (exchange.over) {
+      outcome.failed("too many requests wait for " + address);
+    } else if (use != null) {
+      ask(use, exchange);
+    } else if (connect != null) {
+      connect(connect);
+    }
   }
 
-  private void send(Target target, HttpMethod method, String path, byte[] body, long timeoutMicros,
-      Completion completed, Consumer<String> failed) {
-    var request = client.newRequest(target.host(), target.port()).method(method).path(path)
-        .timeout(timeoutMicros, TimeUnit.MICROSECONDS);
-    if (body != null) {
-      request.body(new BytesRequestContent("application/msgpack", body));
+  /** Guarded by this: counts a connection that is to be made now, if one is. */
+  private Destination wantsConnection(Destination to) {
+    if (to.waiting.isEmpty() || to.connections >= MOST_CONNECTIONS) {
+      return null;
     }
-    request.send(new BufferingResponseListener(MOST_BYTES) {
-      @Override
-      public void onComplete(Result result) {
-        if (result.isFailed()) {
-          failed.accept(String.valueOf(result.getFailure()));
-        } else {
-          completed.accept(result.getResponse().getStatus(), getContent());
+    to.connections++;
+    return to;
+  }
+
+  private void connect(Destination to) {
+    sockets.connect(to.socket, (endPoint, context) -> new AskedConnection(endPoint, sockets.getExecutor(), to, this),
+        why -> notConnected(to, String.valueOf(why)));
+  }
+
+  /** Nothing was sent to where nobody answers: all that waits there has failed. */
+  private void notConnected(Destination to, String why) {
+    List<Exchange> lost;
+    synchronized (this) {
+      to.connections--;
+      lost = new ArrayList<>(to.waiting);
+      to.waiting.clear();
+      lost.forEach(this::end);
+      forgetIfUnused(to);
+    }
+    lost.forEach(e -> e.outcome().failed(why));
+  }
+
+  private void ask(AskedConnection connection, Exchange exchange) {
+    if (!connection.ask(exchange)) {
+      // It was closed between two requests, before this one was sent.
+      boolean ended;
+      synchronized (this) {
+        ended = end(exchange);
+      }
+      if (ended) {
+        exchange.outcome().failed("connection closed");
+      }
+    }
+  }
+
+  /** Guarded by this: whether it ends now, and not before. */
+  private boolean end(Exchange exchange) {
+    boolean ends = !exchange.over;
+    exchange.over = true;
+    underWay.remove(exchange);
+    return ends;
+  }
+
+  private void forgetIfUnused(Destination to) {
+    if (to.unused()) {
+      destinations.remove(to.address, to);
+    }
+  }
+
+  @Override
+  public void opened(AskedConnection connection) {
+    takeNext(connection);
+  }
+
+  private void takeNext(AskedConnection connection) {
+    Exchange next;
+    synchronized (this) {
+      next = connection.destination.waiting.poll();
+      if (next == null) {
+        connection.destination.free.addFirst(connection);
+      } else {
+        next.connection = connection;
+      }
+    }
+    if (next != null) {
+      ask(connection, next);
+    }
+  }
+
+  @Override
+  public void completed(AskedConnection connection, Exchange exchange, int status, byte[] content, boolean reusable) {
+    boolean ended;
+    synchronized (this) {
+      ended = exchange != null && end(exchange);
+    }
+    if (reusable) {
+      takeNext(connection);
+    }
+    if (ended) {
+      exchange.outcome().completed(status, content);
+    }
+  }
+
+  @Override
+  public void closed(AskedConnection connection, Exchange exchange, String why) {
+    boolean ended;
+    Destination connect;
+    synchronized (this) {
+      Destination to = connection.destination;
+      to.free.remove(connection);
+      to.connections--;
+      ended = exchange != null && end(exchange);
+      connect = wantsConnection(to);
+      forgetIfUnused(to);
+    }
+    if (ended) {
+      exchange.outcome().failed(why);
+    }
+    if (connect != null) {
+      connect(connect);
+    }
+  }
+
+  /** Called by the thread that owns the core, now and then: ends what has taken too long. */
+  public void expire(long nowMicros) {
+    List<Exchange> expired = null;
+    synchronized (this) {
+      if (nowMicros < nextExpireMicros) {
+        return;
+      }
+      nextExpireMicros = nowMicros + EXPIRE_EVERY_MICROS;
+      for (Iterator<Exchange> it = underWay.iterator(); it.hasNext(); ) {
+        Exchange exchange = it.next();
+        if (nowMicros >= exchange.deadlineMicros) {
+          it.remove();
+          exchange.over = true;
+          exchange.destination().waiting.remove(exchange);
+          expired = expired == null ? new ArrayList<>() : expired;
+          expired.add(exchange);
         }
       }
-    });
+    }
+    if (expired != null) {
+      for (Exchange exchange : expired) {
+        if (exchange.connection != null) {
+          exchange.connection.close();
+        }
+        exchange.outcome().failed("timeout");
+      }
+    }
   }
 
   private static Reply read(int status, byte[] content, String path, Reader ok, Reader conflict) {
@@ -230,9 +365,4 @@
       return new Reply.Lost(e.getMessage());
     }
   }
-
-  @Override
-  public void close() throws Exception {
-    client.stop();
-  }
 }
--- a/src/main/java/org/eiderstair/node/CoreLoop.java
+++ b/src/main/java/org/eiderstair/node/CoreLoop.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.eiderstair.core.Core;
 import org.eiderstair.core.Effect;
 import org.eiderstair.core.Event;
@@ -30,12 +31,18 @@
   private long nextLoadMicros;
   private Core core;
   private Consumer<Effect> effects;
+  private LongConsumer timeouts = now -> { };
 
   public void attach(Core withCore, Consumer<Effect> withEffects) {
     core = withCore;
     effects = withEffects;
   }
 
+  /** What is to look for requests that have taken too long, each time the core has had its turn. */
+  public void timeouts(LongConsumer look) {
+    timeouts = look;
+  }
+
   public void offer(Event event) {
     if (event instanceof Event.Replied) {
       outcomes.add(event);
@@ -80,6 +87,7 @@
           event = taken < MOST_AT_ONCE ? events.poll() : null;
         }
         core.tick(nowMicros());
+        timeouts.accept(nowMicros());
         if (LOG.isInfoEnabled()) {
           logLoad(nowMicros());
         }
--- /dev/null
+++ b/src/test/java/org/eiderstair/http/ServedConnectionTest.java
@@ -0,0 +1,193 @@
+package org.eiderstair.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.lifecycle.AfterContainer;
+import net.jqwik.api.lifecycle.BeforeContainer;
+import org.eiderstair.core.Answer;
+import org.eiderstair.core.Event;
+import org.eiderstair.protocol.Pack;
+
+/** Requests over real sockets, however they are cut, and whatever is wrong with them. */
+class ServedConnectionTest {
+  private static final int HELD = 100_000;
+  private static ExecutorService threads;
+  private static Sockets sockets;
+  private static Inbound inbound;
+  private static int port;
+  private static final AtomicInteger POLLS = new AtomicInteger();
+
+  @BeforeContainer
+  static void start() throws Exception {
+    threads = Executors.newFixedThreadPool(2);
+    sockets = new Sockets(threads);
+    inbound = new Inbound(ServedConnectionTest::event, HELD);
+    port = inbound.listen(sockets, "127.0.0.1", 0, 8);
+  }
+
+  @AfterContainer
+  static void stop() throws Exception {
+    sockets.stop();
+    threads.shutdownNow();
+  }
+
+  private static void event(Event event) {
+    if (event instanceof Event.Poll poll) {
+      POLLS.incrementAndGet();
+      inbound.respond(poll.exchange(), new Answer.JobView(200, poll.id(), Answer.Phase.DONE, 3, 0));
+    } else if (event instanceof Event.Submit submit) {
+      inbound.respond(submit.exchange(), new Answer.Failure(503, "no", 1));
+    } else if (event instanceof Event.ReadyProbe probe) {
+      inbound.respond(probe.exchange(), new Answer.Ready(true));
+    }
+  }
+
+  private static byte[] ascii(String text) {
+    return text.getBytes(StandardCharsets.US_ASCII);
+  }
+
+  /** One response: its status line, and its body as text. */
+  private static String response(InputStream in) throws IOException {
+    StringBuilder head = new StringBuilder();
+    while (head.indexOf("\r\n\r\n") < 0) {
+      int b = in.read();
+      if (b < 0) {
+        return "closed";
+      }
+      head.append((char) b);
+    }
+    String lower = head.toString().toLowerCase(java.util.Locale.ROOT);
+    int at = lower.indexOf("content-length: ") + 16;
+    int length = Integer.parseInt(lower.substring(at, lower.indexOf("\r\n", at)).trim());
+    in.readNBytes(length);
+    return head.substring(0, head.indexOf("\r\n")) + (lower.contains("retry-after") ? " retry" : "")
+        + (lower.contains("connection: close") ? " close" : "");
+  }
+
+  @Property(tries = 30, seed = "5")
+  void aRequestMayComeInAnyPieces(@ForAll @IntRange(min = 1, max = 60) int piece, @ForAll boolean chunked)
+      throws Exception {
+    byte[] body = Pack.write(java.util.Map.of("Id", "job-000001"));
+    ByteArrayOutputStream sent = new ByteArrayOutputStream();
+    for (int i = 0; i < 3; i++) {
+      sent.write(ascii("GET /work/job-00000" + i + "?x=1 HTTP/1.1\r\nHost: a\r\n\r\n"));
+      sent.write(ascii("POST /work HTTP/1.1\r\nHost: a\r\n" + (chunked
+          ? "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(body.length) + "\r\n"
+          : "Content-Length: " + body.length + "\r\n\r\n")));
+      sent.write(body);
+      sent.write(ascii(chunked ? "\r\n0\r\n\r\n" : ""));
+    }
+    try (Socket socket = new Socket("127.0.0.1", port)) {
+      socket.setTcpNoDelay(true);
+      byte[] all = sent.toByteArray();
+      for (int at = 0; at < all.length; at += piece) {
+        socket.getOutputStream().write(all, at, Math.min(piece, all.length - at));
+      }
+      for (int i = 0; i < 3; i++) {
+        assertEquals("HTTP/1.1 200 OK", response(socket.getInputStream()));
+        assertEquals("HTTP/1.1 503 Service Unavailable retry", response(socket.getInputStream()));
+      }
+    }
+  }
+
+  private static String ask(String request, int padding) throws Exception {
+    try (Socket socket = new Socket("127.0.0.1", port)) {
+      try {
+        socket.getOutputStream().write(ascii(request));
+        socket.getOutputStream().write(new byte[padding]);
+      } catch (IOException e) {
+        // It may have been refused before all of it was read.
+      }
+      String first = response(socket.getInputStream());
+      return first.endsWith("close") ? first + " " + response(socket.getInputStream()) : first;
+    }
+  }
+
+  @Example
+  void whatIsWrongIsRefusedAndTheConnectionClosed() throws Exception {
+    assertEquals("HTTP/1.1 400 Bad Request close closed", ask("nonsense\r\n\r\n", 0));
+    assertEquals("HTTP/1.1 400 Bad Request close closed",
+        ask("POST /work HTTP/1.1\r\nHost: a\r\nContent-Length: 200000\r\n\r\n", 200_000));
+    assertEquals("HTTP/1.1 400 Bad Request close closed",
+        ask("POST /work HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n14000\r\n", 0x14000));
+    assertTrue(ask("GET /work/job-1 HTTP/1.1\r\nHost: a\r\nX: " + "y".repeat(20_000) + "\r\n\r\n", 0)
+        .startsWith("HTTP/1.1 431"));
+    assertEquals("HTTP/1.1 200 OK close closed",
+        ask("GET /work/job-1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", 0));
+    assertEquals("HTTP/1.1 200 OK", ask("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n", 0));
+  }
+
+  /** Many large bodies at once would be more than a small machine's memory: they are refused, and it lives on. */
+  @Example
+  void bodiesTogetherStayWithinTheirBound() throws Exception {
+    List<Socket> open = new ArrayList<>();
+    try {
+      int refused = 0;
+      for (int i = 0; i < 5; i++) {
+        Socket socket = new Socket("127.0.0.1", port);
+        open.add(socket);
+        socket.getOutputStream().write(ascii("POST /work HTTP/1.1\r\nHost: a\r\nContent-Length: 60000\r\n\r\n"));
+        socket.getOutputStream().write(new byte[59_000]);
+      }
+      // The last byte of each: those that were held get an answer, the others got theirs before.
+      for (Socket socket : open) {
+        try {
+          socket.getOutputStream().write(new byte[1000]);
+        } catch (IOException e) {
+          // Refused and closed already.
+        }
+        refused += response(socket.getInputStream()).equals("HTTP/1.1 503 Service Unavailable retry close") ? 1 : 0;
+      }
+      assertTrue(refused >= 3, "refused " + refused);
+    } finally {
+      for (Socket socket : open) {
+        socket.close();
+      }
+    }
+    // What was held has been given back.
+    for (int i = 0; i < 3; i++) {
+      assertEquals("HTTP/1.1 400 Bad Request",
+          ask("POST /work HTTP/1.1\r\nHost: a\r\nContent-Length: 60000\r\n\r\n", 60_000));
+    }
+  }
+
+  /** Above the limit a connection waits in the backlog; as soon as another ends it is served. */
+  @Example
+  void connectionsAreBounded() throws Exception {
+    List<Socket> open = new ArrayList<>();
+    for (int i = 0; i < 8; i++) {
+      Socket socket = new Socket("127.0.0.1", port);
+      open.add(socket);
+      socket.getOutputStream().write(ascii("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n"));
+      assertEquals("HTTP/1.1 200 OK", response(socket.getInputStream()));
+    }
+    try (Socket late = new Socket("127.0.0.1", port)) {
+      int before = POLLS.get();
+      late.getOutputStream().write(ascii("GET /work/job-000007 HTTP/1.1\r\nHost: a\r\n\r\n"));
+      open.get(0).getOutputStream().write(ascii("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n"));
+      assertEquals("HTTP/1.1 200 OK", response(open.get(0).getInputStream()));
+      assertEquals(before, POLLS.get());
+      open.get(1).close();
+      assertEquals("HTTP/1.1 200 OK", response(late.getInputStream()));
+    } finally {
+      for (Socket socket : open) {
+        socket.close();
+      }
+    }
+  }
+}
