--- a/src/main/java/org/eiderstair/http/Destination.java
+++ b/src/main/java/org/eiderstair/http/Destination.java
@@ -18,8 +18,18 @@
     int colon = address.lastIndexOf(':');
     String host = address.substring(0, colon);
     int port = Integer.parseInt(address, colon + 1, address.length(), 10);
-    // Addresses are literals: no look-up, and no thread for one.
-    socket = new InetSocketAddress(host, port);
+    // Addresses are literals; a worker's that is none must not cost a look-up, on the thread that owns the core at that.
+    socket = isLiteral(host) ? new InetSocketAddress(host, port) : InetSocketAddress.createUnresolved(host, port);
+  }
+
+  private static boolean isLiteral(String host) {
+    for (int i = 0; i < host.length(); i++) {
+      char c = host.charAt(i);
+      if (c != '.' && c != ':' && c != '[' && c != ']' && Character.digit(c, 16) < 0) {
+        return false;
+      }
+    }
+    return host.indexOf('.') > 0 && Character.isDigit(host.charAt(0)) || host.indexOf(':') >= 0;
   }
 
   boolean unused() {
--- a/src/main/java/org/eiderstair/http/Sockets.java
+++ b/src/main/java/org/eiderstair/http/Sockets.java
@@ -1,6 +1,5 @@
 package org.eiderstair.http;
 
-import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
@@ -47,37 +46,24 @@
   }
 
   /** A port that others connect to. */
-  private final class Port {
-    private final ServerSocketChannel channel;
-    private final ServedConnection.Requests requests;
-    private final int most;
-    private final AtomicInteger connections = new AtomicInteger();
-    private Closeable acceptor;
-
-    Port(ServerSocketChannel channel, ServedConnection.Requests requests, int most) {
-      this.channel = channel;
-      this.requests = requests;
-      this.most = most;
-    }
-
-    /** Sockets for the state service, the cloud, workers and peers must be left when users take all others. */
-    synchronized void update() {
-      boolean open = connections.get() < most;
-      if (open && acceptor == null) {
-        acceptor = getSelectorManager().acceptor(channel);
-      } else if (!open && acceptor != null) {
-        try {
-          acceptor.close();
-        } catch (IOException e) {
-          // It is closed all the same.
-        }
-        acceptor = null;
+  private record Port(ServerSocketChannel channel, ServedConnection.Requests requests, int most,
+      AtomicInteger connections) {
+
+    /**
+     * Sockets for the state service, the cloud, workers and peers must be left when users take all others. One too many
+     * is taken and closed: were the port not listened to for a while, a connection that ends in the same moment could
+     * make it register twice, and the connector would then close it for good.
+     */
+    boolean takesOneMore() {
+      if (connections.incrementAndGet() <= most) {
+        return true;
       }
+      closed();
+      return false;
     }
 
     void closed() {
       connections.decrementAndGet();
-      update();
     }
   }
 
@@ -114,9 +100,8 @@
     channel.bind(new InetSocketAddress(host, number), BACKLOG);
     addBean(channel);
     int bound = ((InetSocketAddress) channel.getLocalAddress()).getPort();
-    Port port = new Port(channel, requests, most);
-    ports.put(bound, port);
-    port.update();
+    ports.put(bound, new Port(channel, requests, most, new AtomicInteger()));
+    getSelectorManager().acceptor(channel);
     return bound;
   }
 
@@ -152,8 +137,10 @@
     protected void accepted(SelectableChannel channel) throws IOException {
       int number = ((InetSocketAddress) ((SocketChannel) channel).getLocalAddress()).getPort();
       Port port = ports.get(number);
-      port.connections.incrementAndGet();
-      port.update();
+      if (!port.takesOneMore()) {
+        channel.close();
+        return;
+      }
       Sockets.this.accept(channel, context((endPoint, c) ->
           new ServedConnection(endPoint, getExecutor(), port.requests, port::closed),
           why -> port.closed()));
