--- a/src/main/java/org/eiderstair/config/OperatorFile.java
+++ b/src/main/java/org/eiderstair/config/OperatorFile.java
@@ -15,7 +15,7 @@
   public static final Settings.Tuning DEFAULTS = Settings.Tuning.defaults();
 
   private static final Set<String> KNOWN = Set.of("token_list_size", "machine_queue", "leader_ttl_s", "leader_renew_s",
-      "unheard_delete_s", "idle_return_s", "rent_batch");
+      "unheard_delete_s", "dark_delete_s", "idle_return_s", "rent_batch");
 
   private final Path file;
   private final Map<String, Object> values;
@@ -47,6 +47,7 @@
         f.micros("leader_ttl_s", 1, 600, d.leaderTtlMicros()),
         f.micros("leader_renew_s", 0.1, 200, d.leaderRenewMicros()),
         f.micros("unheard_delete_s", 1, 3600, d.unheardDeleteMicros()),
+        f.micros("dark_delete_s", 1, 3600, d.darkDeleteMicros()),
         f.micros("idle_return_s", 0, 86_400, d.idleReturnMicros()),
         (int) f.number("rent_batch", 1, 50, d.rentBatch()));
     if (tuning.leaderRenewMicros() * 2 > tuning.leaderTtlMicros()) {
--- a/src/main/java/org/eiderstair/core/Answer.java
+++ b/src/main/java/org/eiderstair/core/Answer.java
@@ -1,6 +1,7 @@
 package org.eiderstair.core;
 
 import java.util.List;
+import org.eiderstair.core.member.Hearing;
 
 /** What a node says to a user, a worker or a health check. */
 public sealed interface Answer {
@@ -22,5 +23,8 @@
   /** To a peer: whether the state service serves this node, and whom it follows (null: nobody it knows of). */
   record Standing(boolean served, String leader, long term) implements Answer {}
 
+  /** To a peer: which machines this node hears by itself. */
+  record Heard(Hearing hearing) implements Answer {}
+
   record Ready(boolean ready) implements Answer {}
 }
--- a/src/main/java/org/eiderstair/core/Core.java
+++ b/src/main/java/org/eiderstair/core/Core.java
@@ -2,6 +2,7 @@
 
 import java.util.function.Consumer;
 import java.util.function.IntUnaryOperator;
+import org.eiderstair.core.member.Membership;
 
 /**
  * One controller without input, output, clock or thread: events come in with the time, effects go out. Given
@@ -18,6 +19,7 @@
   private final Leadership leadership;
   private final Relay relay;
   private final StateReach reach;
+  private final Membership membership;
   private Scheduler scheduler;
   private long now;
 
@@ -36,6 +38,7 @@
     this.relay = new Relay(ports);
     this.reach = new StateReach(settings, ports, replica);
     ports.watch(reach::replied);
+    this.membership = new Membership(settings.peers(), incarnation, settings.reportMicros(), this::askHeard);
     this.leadership = new Leadership(settings, ports, replica, incarnation, random, this);
   }
 
@@ -47,6 +50,26 @@
 
   /** One event of several at hand: what is decided for all of them together waits for {@link #tick}. */
   public void take(Event event, long nowMicros) {
+    guarded("event " + event.getClass().getSimpleName(), () -> takeWhole(event, nowMicros));
+  }
+
+  /**
+   * What may be on a machine is not known any more after half an event. A leader leaves office and lets another begin
+   * its term anew; it must never go on. What else fails concerns one request, and the node goes on without it.
+   */
+  private void guarded(String what, Runnable step) {
+    try {
+      step.run();
+    } catch (RuntimeException | StackOverflowError e) {
+      StackTraceElement[] at = e.getStackTrace();
+      ports.error(what + " failed: " + e + (at.length == 0 ? "" : " at " + at[0]));
+      if (leadership.inOffice()) {
+        leadership.giveUp("half an event was taken");
+      }
+    }
+  }
+
+  private void takeWhole(Event event, long nowMicros) {
     now = nowMicros;
     replica.at(now);
     leadership.at(now);
@@ -62,6 +85,8 @@
       desk.cancel(cancel.exchange(), cancel.id());
     } else if (event instanceof Event.PeerAsked asked) {
       ports.respond(asked.exchange(), reach.standing());
+    } else if (event instanceof Event.PeerHeardAsked asked) {
+      ports.respond(asked.exchange(), new Answer.Heard(membership.tell(asked.run(), asked.after(), now)));
     } else if (event instanceof Event.ReadyProbe probe) {
       ports.respond(probe.exchange(), new Answer.Ready(replica.loaded() && !reach.alone()));
     }
@@ -77,6 +102,10 @@
   }
 
   public void tick(long nowMicros) {
+    guarded("tick", () -> tickWhole(nowMicros));
+  }
+
+  private void tickWhole(long nowMicros) {
     now = nowMicros;
     replica.at(now);
     replica.tick(now);
@@ -94,9 +123,12 @@
 
   private void reported(Event.Reported event) {
     if (scheduler != null && leadership.inOffice()) {
-      scheduler.reported(event.exchange(), event.report(), now);
+      scheduler.reported(event.exchange(), event.report(), event.relayed(), now);
       return;
     }
+    if (!event.relayed()) {
+      membership.heard(event.report().machine(), now);
+    }
     Replica.Leader leader = replica.leader();
     // While the state service refuses this node alone, its own picture of the leader is old.
     String newer = reach.newerLeader(leader == null ? 0 : leader.term());
@@ -108,6 +140,12 @@
     }
   }
 
+  private void askHeard(String peer, String run, long after, Consumer<Membership.Answer> then) {
+    ports.call(new Request.PeerHeard(peer, run, after), reply -> then.accept(
+        reply instanceof Reply.PeerHeard told ? new Membership.Answer(told.hearing())
+            : reply instanceof Reply.Refused refused && refused.status() == 404 ? new Membership.Answer(null) : null));
+  }
+
   public boolean leads() {
     return leadership.inOffice();
   }
@@ -131,12 +169,13 @@
 
   @Override
   public void tookOffice(long term) {
-    scheduler = new Scheduler(settings, ports, replica, leadership, term, random);
+    scheduler = new Scheduler(settings, ports, replica, leadership, membership, term, random);
   }
 
   @Override
   public void leftOffice(String why) {
-    scheduler.close();
+    Scheduler ended = scheduler;
     scheduler = null;
+    ended.close();
   }
 }
--- a/src/main/java/org/eiderstair/core/Event.java
+++ b/src/main/java/org/eiderstair/core/Event.java
@@ -19,6 +19,9 @@
   /** A peer asks whether the state service serves this node. */
   record PeerAsked(long exchange) implements Event {}
 
+  /** A peer asks which machines this node hears, as changes after what a run of this node has told it already. */
+  record PeerHeardAsked(long exchange, String run, long after) implements Event {}
+
   record ReadyProbe(long exchange) implements Event {}
 
   /** A worker reports; {@code relayed} when it came through another node. */
--- a/src/main/java/org/eiderstair/core/Fleet.java
+++ b/src/main/java/org/eiderstair/core/Fleet.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
+import org.eiderstair.core.member.Membership;
 
 /**
  * The machines of one term and what may be on them. A task comes free here only on proof: a newer report
@@ -23,6 +25,9 @@
   private static final long OUT_OF_REACH_MICROS = 2_500_000;
   private static final long SAVE_MARGIN_MICROS = 1_500_000;
   private static final long UNREACHED_MICROS = 6_000_000;
+  private static final int FEW = 3;
+  private static final long QUIET_MICROS = 1_500_000;
+  private static final int REPORTS = 10;
   private static final long FAILURE_PAUSE_MICROS = 1_000_000;
   private static final long LONGEST_PAUSE_MICROS = 60_000_000;
 
@@ -37,6 +42,9 @@
   private long attempts;
   private boolean closed;
   private long now;
+  private Predicate<String> leaving = id -> false;
+  /** When a report last came from a machine itself, not through a peer. */
+  private long directMicros;
 
   final Map<String, Machine> machines = new LinkedHashMap<>();
   // One report must cost one machine: what the fleet as a whole needs is kept in these as machines change.
@@ -146,9 +154,17 @@
     }
   }
 
+  /** What is marked as leaving, also by an earlier term: nothing may be placed on it. */
+  void leaving(Predicate<String> marked) {
+    leaving = marked;
+  }
+
   Machine expect(String id, String address, String type, String zone, boolean spot) {
     Machine m = new Machine(id, term, Machine.Phase.BOOTING, now);
     describe(m, address, type, zone, spot);
+    if (leaving.test(id)) {
+      m.plan = Machine.Plan.DELETE;
+    }
     add(m);
     return m;
   }
@@ -191,8 +207,11 @@
    * A worker's report. Its answer renews the lease and carries what the machine must stop, forget and, decided in the
    * next pass, launch; so a machine whose task ended gets its next one without another message.
    */
-  void reported(long exchange, MachineReport report, long nowMicros) {
+  void reported(long exchange, MachineReport report, boolean relayed, long nowMicros) {
     now = nowMicros;
+    if (!relayed) {
+      directMicros = now;
+    }
     if (report.token() >> 20 > term) {
       ports.respond(exchange, new Answer.Redirect(null));
       leadership.deposed("machine " + report.machine() + " has seen token " + report.token());
@@ -210,9 +229,10 @@
     if (m.address == null || m.typeName == null || !m.rostered) {
       describe(m, report.address(), report.type(), report.zone(), report.spot());
     }
-    if (!m.rostered) {
+    if (!m.rostered && m.plan != Machine.Plan.DELETE) {
       ledger.enrol(m);
     }
+    m.relayed = relayed;
     absorb(m, report, true, !m.commandInFlight);
     if (m.session != report.session()) {
       ports.respond(exchange, new Answer.Failure(503, "report of an earlier session", 0));
@@ -490,6 +510,22 @@
     changed = true;
   }
 
+  /** A machine that was to leave is kept: its mark is gone, and no request to delete it can arrive any more. */
+  void keep(String id) {
+    Machine m = machines.get(id);
+    if (m != null && m.plan == Machine.Plan.DELETE) {
+      m.plan = Machine.Plan.USE;
+      m.condemned = false;
+      if (!m.rostered && m.phase != Machine.Phase.BOOTING) {
+        ledger.enrol(m);
+      }
+      updateQueueable(m);
+      m.measureRoom();
+      roomChanged(m);
+      changed = true;
+    }
+  }
+
   /** Before a machine is taken away, tasks that can save in time are told to; the others may yet complete. */
   private void saveProgress(Machine m, long noticeMicros) {
     for (Attempt a : m.attempts.values()) {
@@ -602,6 +638,23 @@
     }
   }
 
+  /**
+   * Whether no machine has reached this leader by itself for much longer than so many machines take to report. That
+   * alone may be their fault as well as its own: peers tell.
+   */
+  boolean unreached() {
+    long between = settings.reportMicros() / Math.max(1, leased.size());
+    return leased.size() >= FEW && now > Math.max(directMicros, takenOverMicros) + Math.max(QUIET_MICROS, REPORTS * between);
+  }
+
+  /** How many machines that this leader knows a peer hears. */
+  int heardBy(Membership membership) {
+    return membership.heardElsewhere(id -> {
+      Machine m = machines.get(id);
+      return m != null && m.phase != Machine.Phase.BOOTING;
+    });
+  }
+
   /**
    * Whether this leader seems cut off from its machines: many of those it had heard are silent, and hardly any is
    * not. Dead machines alone do not look like that, and relayed reports count as heard.
@@ -671,13 +724,21 @@
       Machine m = it.next();
       if (m.toLaunch.isEmpty() && !m.killsPending) {
         it.remove();
-      } else if (!m.commandInFlight && m.phase == Machine.Phase.HEARD && may) {
+      } else if (!m.commandInFlight && m.phase == Machine.Phase.HEARD && may && !comesThroughPeer(m)) {
         it.remove();
         send(m);
       }
     }
   }
 
+  /**
+   * This node may not reach a machine whose reports a peer passes on. Seen with a leader cut from its workers: each command
+   * ran into its time limit, and the fence raised for it kept the machine from work. Its next report is soon here.
+   */
+  private boolean comesThroughPeer(Machine m) {
+    return m.relayed && now < m.heardMicros + settings.reportMicros() * 2;
+  }
+
   private void answer(Machine m, boolean may) {
     List<Order> orders = killsFor(m);
     orders.addAll(m.reaps.values());
--- a/src/main/java/org/eiderstair/core/Ledger.java
+++ b/src/main/java/org/eiderstair/core/Ledger.java
@@ -17,6 +17,8 @@
   private static final long GATHER_MICROS = 60_000;
   private static final long RETRY_MICROS = 500_000;
   private static final int TXN_BYTES = 40_000;
+  /** Of a transaction: hundreds of notes at once must not hold up completions, nor wait for hundreds of those. */
+  private static final int NOTES_PART = 4;
 
   /** IDLE may write; WRITING waits for an answer; READING fetches versions after a conflict or no answer. */
   private enum State { IDLE, WRITING, READING }
@@ -45,6 +47,11 @@
   private final Map<String, Job> progressed = new LinkedHashMap<>();
   private final Map<String, Machine> enrol = new LinkedHashMap<>();
   private final Map<String, Boolean> strike = new LinkedHashMap<>();
+  /** Single keys of the duties, written before what they announce is done. */
+  private final Map<String, Note> notes = new LinkedHashMap<>();
+
+  /** A value to be written, null to drop the key, and who waits for that. */
+  private record Note(Map<String, Object> value, List<Runnable> durable) {}
 
   Ledger(Settings settings, Ports ports, Replica replica, long term, Listener listener) {
     this.settings = settings;
@@ -82,6 +89,14 @@
     }
   }
 
+  /** Writes a key of the duties, or drops it when the value is null; the latest value counts. */
+  void note(String key, Map<String, Object> value, Runnable durable) {
+    Note earlier = notes.remove(key);
+    List<Runnable> waiting = earlier == null ? new ArrayList<>() : earlier.durable();
+    waiting.add(durable);
+    notes.put(key, new Note(value, waiting));
+  }
+
   void tick(long nowMicros) {
     now = nowMicros;
     if (closed || state != State.IDLE || now < notBeforeMicros) {
@@ -93,6 +108,7 @@
     conditions.add(new Request.Condition(Records.LEADER, term));
     notBeforeMicros = now + GATHER_MICROS;
     int room = (int) Math.min(settings.stateTxnOps(), writes.available(now));
+    room = addNotes(room, conditions, changes, after);
     room = addFinished(room, conditions, changes, after);
     room = addRoster(room, conditions, changes, after);
     addProgress(room, conditions, changes, after);
@@ -104,6 +120,38 @@
     ports.call(new Request.StoreTxn(conditions, changes), reply -> written(reply, conditions, changes, after));
   }
 
+  private int addNotes(int room, List<Request.Condition> conditions, List<Request.Write> changes,
+      List<Runnable> after) {
+    int most = Math.min(room, Math.max(1, settings.stateTxnOps() / NOTES_PART));
+    for (Map.Entry<String, Note> e : new ArrayList<>(notes.entrySet())) {
+      if (most < 1) {
+        return room;
+      }
+      String key = e.getKey();
+      Note note = e.getValue();
+      Reply.Item known = replica.duties.get(key);
+      if (known == null && note.value() == null) {
+        notes.remove(key);
+        note.durable().forEach(Runnable::run);
+        continue;
+      }
+      conditions.add(new Request.Condition(key, known == null ? 0 : known.version()));
+      changes.add(new Request.Write(key, note.value(), 0));
+      most--;
+      room--;
+      // Those who wait for this value; who comes while it is on its way waits for the next.
+      List<Runnable> waiting = new ArrayList<>(note.durable());
+      after.add(() -> {
+        if (notes.get(key) == note) {
+          notes.remove(key);
+        }
+        note.durable().removeAll(waiting);
+        waiting.forEach(Runnable::run);
+      });
+    }
+    return room;
+  }
+
   private int addFinished(int room, List<Request.Condition> conditions, List<Request.Write> changes,
       List<Runnable> after) {
     for (Job job : new ArrayList<>(finished.values())) {
--- a/src/main/java/org/eiderstair/core/Machine.java
+++ b/src/main/java/org/eiderstair/core/Machine.java
@@ -7,9 +7,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.eiderstair.core.member.Survey;
 
 /** A machine as the leader of one term knows it: what may be on it, and how sure that is. */
-final class Machine {
+final class Machine implements Survey.Member {
 
   /**
    * BOOTING was rented and has not reported. UNHEARD may hold work of earlier terms. HEARD has shown our token.
@@ -59,6 +60,10 @@
   long holdUntilMicros;
   long idleSinceMicros;
   boolean rostered;
+  /** To be given back for its silence alone. */
+  boolean condemned;
+  /** Its last report came through a peer: this node may not reach it. */
+  boolean relayed;
   /** More than the demand asks for: used last, so that it falls idle and can be returned. */
   boolean surplus;
   /** Dear and beyond what is at hand: it takes no more work that could go elsewhere, so it can be returned. */
@@ -85,6 +90,26 @@
     this.heardMicros = nowMicros;
   }
 
+  @Override
+  public String machine() {
+    return id;
+  }
+
+  @Override
+  public String zone() {
+    return zone;
+  }
+
+  @Override
+  public long lastHeardMicros() {
+    return phase == Phase.BOOTING ? Long.MAX_VALUE : heardMicros;
+  }
+
+  @Override
+  public boolean holdsBack() {
+    return phase == Phase.UNHEARD;
+  }
+
   long token() {
     return baseToken + fence;
   }
--- a/src/main/java/org/eiderstair/core/Records.java
+++ b/src/main/java/org/eiderstair/core/Records.java
@@ -19,6 +19,8 @@
   static final String JOB = "e/job/";
   static final String PROGRESS = "e/prog/";
   static final String ROSTER = "e/roster/";
+  /** Open rentals and returns; their form is the duties' own. */
+  static final String DUTY = "e/duty/";
 
   private Records() {}
 
--- a/src/main/java/org/eiderstair/core/Relay.java
+++ b/src/main/java/org/eiderstair/core/Relay.java
@@ -13,15 +13,26 @@
   private static final long RELAY_MICROS = 20_000_000;
   private static final long UNREACHED_MICROS = 2_000_000;
   private static final long FORGET_MICROS = 120_000_000;
+  /** So many workers that soon came back from one leader are no chance. */
+  private static final int MANY_BACK = 3;
+  private static final long COUNTED_MICROS = 10_000_000;
 
   /** REDIRECTED was sent to the leader; RELAYED is passed on until its time is over. */
   private enum State { REDIRECTED, RELAYED }
 
+  /** Whether workers here reach the leader, as far as this node can tell; OUT_OF_REACH is believed for a while. */
+  private enum Reach { REACHED, OUT_OF_REACH }
+
   private record Visitor(State state, String leader, long sinceMicros) {}
 
   private final Ports ports;
   private long unreachedUntilMicros;
   private final Map<String, Visitor> visitors = new HashMap<>();
+  private Reach reach = Reach.REACHED;
+  private String judged = "";
+  private int back;
+  private long countedSinceMicros;
+  private long believedUntilMicros;
 
   Relay(Ports ports) {
     this.ports = ports;
@@ -56,6 +67,37 @@
     });
   }
 
+  /**
+   * A worker came back soon from the leader. When several have, the others need not try it first: each try costs one its
+   * time limit, and its machine the work of that time.
+   */
+  private void cameBack(String leader, long nowMicros) {
+    if (!leader.equals(judged) || nowMicros > countedSinceMicros + COUNTED_MICROS) {
+      judged = leader;
+      back = 0;
+      countedSinceMicros = nowMicros;
+    }
+    if (++back >= MANY_BACK) {
+      believedUntilMicros = nowMicros + RELAY_MICROS;
+      become(Reach.OUT_OF_REACH);
+    }
+  }
+
+  /** The one function for every change of what is believed of the leader. */
+  private void become(Reach next) {
+    if (next != reach) {
+      reach = next;
+      ports.info("workers here: leader " + judged + " is " + next);
+    }
+  }
+
+  private boolean outOfReach(String leader, long nowMicros) {
+    if (reach == Reach.OUT_OF_REACH && (!leader.equals(judged) || nowMicros > believedUntilMicros)) {
+      become(Reach.REACHED);
+    }
+    return reach == Reach.OUT_OF_REACH;
+  }
+
   private Visitor next(String machine, String leader, long nowMicros) {
     Visitor last = visitors.get(machine);
     boolean same = last != null && last.leader().equals(leader);
@@ -63,9 +105,10 @@
       return last;
     }
     if (same && last.state() == State.REDIRECTED && nowMicros < last.sinceMicros() + BACK_SOON_MICROS) {
+      cameBack(leader, nowMicros);
       ports.debug("machine " + machine + " is back soon from " + leader + ": relaying its reports");
       return new Visitor(State.RELAYED, leader, nowMicros);
     }
-    return new Visitor(State.REDIRECTED, leader, nowMicros);
+    return new Visitor(outOfReach(leader, nowMicros) ? State.RELAYED : State.REDIRECTED, leader, nowMicros);
   }
 }
--- a/src/main/java/org/eiderstair/core/Renting.java
+++ b/src/main/java/org/eiderstair/core/Renting.java
@@ -5,10 +5,15 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.eiderstair.core.duty.Duties;
+import org.eiderstair.core.duty.Offer;
+import org.eiderstair.core.member.Membership;
+import org.eiderstair.core.member.Survey;
 
 /** Decides which machines to rent and to return, and watches the cloud's list for what went wrong there. */
 final class Renting {
@@ -21,9 +26,8 @@
   private static final int BOOT_PATIENCE = 4;
   private static final int MOST_RENTALS = 4;
   private static final long RENT_GAP_MICROS = 100_000;
-
-  /** A kind of machine in one zone: what a rental names, and what the cloud refuses by. */
-  private record Offer(String type, String zone, boolean spot) {}
+  /** Lists lag by up to twice what the settings say, and a replaced leader's deletions are known by the marks alone. */
+  private static final long TOMBSTONE_MICROS = 30_000_000;
 
   private final Settings settings;
   private final Ports ports;
@@ -35,21 +39,22 @@
   private final Demand demand;
   private boolean closed;
   private long now;
-  private long requests;
   private long nextDecideMicros;
   private long nextListMicros;
+  private int lastSpared;
   private long nextCatalogMicros;
   private boolean listing;
   private boolean readingCatalog;
-  private boolean deleting;
-  private long deleteNotBefore;
-  /** Machines asked for by name of the request, as if they were booting: nothing is rented twice over. */
-  private final Map<String, List<Machine>> asked = new HashMap<>();
+  /** Machines asked for, by name of the rental. */
+  private final Map<String, List<Machine>> awaited = new HashMap<>();
   private final Map<Offer, Long> refusedUntil = new HashMap<>();
-  private final Set<String> toDelete = new LinkedHashSet<>();
+  private final Duties duties;
+  private final Membership membership;
+  private final Ledger ledger;
+  private Survey survey;
 
-  Renting(Settings settings, Ports ports, Replica replica, Fleet fleet, Leadership leadership, Demand demand,
-      long term) {
+  Renting(Settings settings, Ports ports, Replica replica, Fleet fleet, Leadership leadership, Ledger ledger,
+      Demand demand, Membership membership, long term) {
     this.settings = settings;
     this.ports = ports;
     this.replica = replica;
@@ -58,12 +63,44 @@
     this.term = term;
     this.demand = demand;
     this.calls = new RateBudget(settings.cloudRps() * 0.7);
+    this.ledger = ledger;
+    this.membership = membership;
+    this.duties = new Duties(new Host(), term, TOMBSTONE_MICROS, replica.dayMicros(0));
   }
 
   void close() {
+    duties.close();
     closed = true;
   }
 
+  /** Takes over what earlier terms left open: their rentals are on their way, and nothing is placed on what leaves. */
+  void takeOver(long nowMicros) {
+    now = nowMicros;
+    fleet.leaving(duties::leaving);
+    Map<String, Map<String, Object>> records = new TreeMap<>();
+    replica.duties.values().forEach(item -> records.put(item.key(), item.value()));
+    duties.resume(records, now);
+    for (Machine m : fleet.machines.values()) {
+      if (duties.leaving(m.id)) {
+        leave(m);
+      }
+    }
+  }
+
+  /** The machine is in the roster now, so that a successor knows of it without its rental. */
+  void rostered(String machine) {
+    duties.accounted(machine);
+  }
+
+  /** Whether some machine has been silent for so long that peers are to be asked for it. */
+  boolean missesMachines() {
+    return survey != null && survey.misses();
+  }
+
+  String summary() {
+    return duties.summary();
+  }
+
   void tick(long nowMicros) {
     now = nowMicros;
     if (!leadership.mayCommand(now)) {
@@ -79,9 +116,7 @@
         balance();
       }
     }
-    if (!deleting && !toDelete.isEmpty() && now >= deleteNotBefore && mayCall()) {
-      delete();
-    }
+    duties.tick(now);
     if (!listing && now >= nextListMicros && mayCall()) {
       listing = true;
       nextListMicros = now + LIST_EVERY_MICROS;
@@ -123,40 +158,39 @@
 
   /** Machines that are of no more use: silent, failed to boot, drained, or idle for longer than they are worth. */
   private void retire() {
-    int heard = 0;
-    int silent = 0;
-    for (Machine m : fleet.machines.values()) {
-      if (m.phase != Machine.Phase.BOOTING) {
-        heard++;
-        silent += isSilent(m) ? 1 : 0;
-      }
-    }
-    // When most machines are silent, the fault is more likely ours than theirs. But it need not be: machines
-    // deleted just before a crash are still rostered, and must not hold everything back for ever.
-    boolean cutOff = silent > 2 && silent * 2 > heard;
-    long patience = settings.tuning().unheardDeleteMicros() * (cutOff ? 3 : 1);
+    survey = membership.survey(fleet.machines.values(), settings.tuning().unheardDeleteMicros(),
+        settings.tuning().darkDeleteMicros(), now);
+    int spared = 0;
     for (Machine m : fleet.machines.values()) {
       if (m.plan == Machine.Plan.DELETE) {
-        toDelete.add(m.id);
+        if (m.condemned && m.heardMicros > now - DECIDE_EVERY_MICROS) {
+          // It was taken for dead, and is heard again.
+          m.condemned = false;
+          duties.takeBack(m.id);
+        }
         continue;
       }
+      Survey.Verdict verdict = survey.of(m);
       String why = null;
       if (m.phase == Machine.Phase.BOOTING) {
         long boot = m.type == null ? 60_000_000L : m.type.bootMicros();
-        why = now > m.sinceMicros + boot * BOOT_PATIENCE ? "never came up" : null;
-      } else if (now > m.heardMicros + patience) {
-        why = "silent";
+        why = now > m.sinceMicros + boot * BOOT_PATIENCE && !membership.heardElsewhere(m.id) ? "never came up" : null;
+      } else if (verdict == Survey.Verdict.SILENT) {
+        why = survey.evidence(m);
       } else if (m.plan == Machine.Plan.DRAIN && m.attempts.isEmpty() && m.phase == Machine.Phase.HEARD) {
         why = "drained";
       }
       if (why != null) {
-        returnNow(m, why);
+        m.condemned = verdict == Survey.Verdict.SILENT;
+        returnNow(m, m.condemned ? "silent: " + why : why);
+      } else if (verdict.ordinal() >= Survey.Verdict.ELSEWHERE.ordinal()) {
+        spared++;
       }
     }
-  }
-
-  private boolean isSilent(Machine m) {
-    return now > m.heardMicros + settings.tuning().unheardDeleteMicros();
+    if (spared != lastSpared) {
+      lastSpared = spared;
+      ports.info("silent machines spared: " + spared + ", " + survey.evidence() + ", term=" + term);
+    }
   }
 
   private boolean isIdle(Machine m) {
@@ -165,26 +199,6 @@
         && now > m.sinceMicros + CHEAPEST_LIFE_MICROS;
   }
 
-  private void delete() {
-    deleting = true;
-    calls.take(1);
-    List<String> names = toDelete.stream().limit(100).toList();
-    ports.call(new Request.CloudDelete(names), reply -> {
-      deleting = false;
-      if (closed) {
-        return;
-      }
-      if (reply instanceof Reply.Applied) {
-        for (String name : names) {
-          toDelete.remove(name);
-          fleet.deleted(name);
-        }
-      } else {
-        deleteNotBefore = now + RETRY_MICROS;
-      }
-    });
-  }
-
   /** The part of a machine, there or on its way, that the demand has not yet taken on paper. */
   private static final class Room {
     final Machine machine;
@@ -221,7 +235,7 @@
         rooms.add(new Room(m));
       }
     }
-    asked.values().forEach(machines -> machines.forEach(m -> rooms.add(new Room(m))));
+    duties.awaited(rental -> awaited(rental).forEach(m -> rooms.add(new Room(m))));
     // Cheap machines serve first, and among equals the busy ones: what is left over is best returned.
     rooms.sort(Comparator.comparing((Room r) -> !r.machine.spot).thenComparing(r -> r.machine.attempts.isEmpty()));
     Map<Offer, Double> wanted = new LinkedHashMap<>();
@@ -272,7 +286,8 @@
         for (boolean spot : new boolean[] {true, false}) {
           Offer offer = new Offer(type.name(), zone, spot);
           double price = (spot ? type.spotPrice() : type.price()) / Math.max(type.cpus(), 0.01);
-          if (!spec.allows(type.name(), zone, spot) || spot && type.spotPrice() <= 0
+          // In a zone that nobody sees a machine would boot unseen, and be paid for.
+          if (!spec.allows(type.name(), zone, spot) || spot && type.spotPrice() <= 0 || membership.isDark(zone)
               || now < refusedUntil.getOrDefault(offer, 0L)) {
             continue;
           }
@@ -293,62 +308,122 @@
     for (Machine m : fleet.machines.values()) {
       count += zone.equals(m.zone) ? 1 : 0;
     }
-    for (List<Machine> machines : asked.values()) {
-      count += zone.equals(machines.get(0).zone) ? machines.size() : 0;
-    }
-    return count;
+    int[] awaitedThere = {0};
+    duties.awaited(rental -> awaitedThere[0] += zone.equals(rental.offer().zone()) ? rental.count() : 0);
+    return count + awaitedThere[0];
   }
 
   private void rent(Offer offer, int count) {
-    if (count < 1 || asked.size() >= MOST_RENTALS || !mayCall()) {
+    if (count < 1 || duties.awaited() >= MOST_RENTALS || !mayCall()) {
       return;
     }
-    // A request name is never used for another request, by any node: the term and a counter see to that.
-    String request = "r-" + term + "-" + ++requests;
-    List<Machine> machines = new ArrayList<>(count);
-    for (int i = 0; i < count; i++) {
-      Machine m = new Machine(request + "/" + i, term, Machine.Phase.BOOTING, now);
-      m.typeName = offer.type();
-      m.type = type(offer.type());
-      m.zone = offer.zone();
-      m.spot = offer.spot();
-      machines.add(m);
-    }
-    asked.put(request, machines);
-    rent(request, offer, count, 3);
+    duties.rent(offer, count);
     // More may be wanted than one request brings, and the next may go to another zone.
     nextDecideMicros = Math.min(nextDecideMicros, now + RENT_GAP_MICROS);
   }
 
-  private void rent(String request, Offer offer, int count, int tries) {
-    calls.take(1);
-    ports.call(new Request.CloudRent(request, offer.type(), offer.zone(), offer.spot(), count), reply -> {
-      if (closed) {
-        return;
+  /** Machines whose names are not known yet, as if they were booting: nothing is rented twice over. */
+  private List<Machine> awaited(Duties.Awaited rental) {
+    return awaited.computeIfAbsent(rental.charter(), charter -> {
+      List<Machine> machines = new ArrayList<>(rental.count());
+      for (int i = 0; i < rental.count(); i++) {
+        Machine m = new Machine(charter + "/" + i, term, Machine.Phase.BOOTING, now);
+        m.typeName = rental.offer().type();
+        m.type = type(rental.offer().type());
+        m.zone = rental.offer().zone();
+        m.spot = rental.offer().spot();
+        machines.add(m);
       }
-      if (reply instanceof Reply.Rented rented) {
-        asked.remove(request);
-        ports.info("rented " + rented.machines().size() + " of " + count + " " + offer + ", term=" + term);
-        for (String id : rented.machines()) {
-          if (!fleet.machines.containsKey(id) && !fleet.gone.contains(id)) {
-            fleet.expect(id, null, offer.type(), offer.zone(), offer.spot());
-          }
-        }
-        if (rented.machines().size() < count) {
-          refusedUntil.put(offer, now + REFUSED_PAUSE_MICROS);
+      return machines;
+    });
+  }
+
+  /** What the duties need of the leader: its writes, its calls to the cloud, and its picture of the machines. */
+  private final class Host implements Duties.Host {
+    @Override
+    public void put(String key, Map<String, Object> value, Runnable durable) {
+      ledger.note(key, value, durable);
+    }
+
+    @Override
+    public void drop(String key, Runnable durable) {
+      ledger.note(key, null, durable);
+    }
+
+    @Override
+    public boolean mayCall() {
+      return Renting.this.mayCall() && leadership.mayCommand(now);
+    }
+
+    @Override
+    public void rent(String charter, Offer offer, int count, Consumer<Duties.Rental> then) {
+      call(new Request.CloudRent(charter, offer.type(), offer.zone(), offer.spot(), count), reply -> {
+        if (reply instanceof Reply.Rented rented) {
+          then.accept(new Duties.Rental(Duties.Rental.Outcome.GRANTED, rented.machines(), ""));
+        } else {
+          then.accept(new Duties.Rental(reply instanceof Reply.Refused ? Duties.Rental.Outcome.REFUSED
+              : Duties.Rental.Outcome.NO_ANSWER, List.of(), reply.toString()));
         }
         nextDecideMicros = Math.min(nextDecideMicros, now);
-      } else if (reply instanceof Reply.Lost && tries > 0) {
-        // The same name again returns the same machines if the first request was served after all.
-        rent(request, offer, count, tries - 1);
-      } else {
-        asked.remove(request);
-        boolean capacity = reply instanceof Reply.Refused refused && refused.status() == 503;
-        ports.info("not rented " + count + " " + offer + ": " + reply + ", term=" + term);
-        refusedUntil.put(offer, now + (capacity ? REFUSED_PAUSE_MICROS : RETRY_MICROS));
-        nextDecideMicros = Math.min(nextDecideMicros, now + (capacity ? 0 : RETRY_MICROS));
+      });
+    }
+
+    @Override
+    public void delete(List<String> machines, Consumer<Duties.Deletion> then) {
+      call(new Request.CloudDelete(machines), reply -> then.accept(reply instanceof Reply.Applied
+          ? Duties.Deletion.DONE : reply instanceof Reply.Refused ? Duties.Deletion.REFUSED
+          : Duties.Deletion.NO_ANSWER));
+    }
+
+    /** A holder that stood still must not send what its lease allowed before; its mark or name holds even so. */
+    private void call(Request request, Consumer<Reply> then) {
+      calls.take(1);
+      ports.call(request, leadership.authorityEnd(), reply -> {
+        if (!closed) {
+          then.accept(reply);
+        }
+      });
+    }
+
+    @Override
+    public void booting(String charter, Offer offer, List<String> machines, long ageMicros) {
+      awaited.remove(charter);
+      for (String id : machines) {
+        if (!fleet.machines.containsKey(id) && !fleet.gone.contains(id)) {
+          fleet.expect(id, null, offer.type(), offer.zone(), offer.spot()).sinceMicros = now - ageMicros;
+        }
       }
-    });
+    }
+
+    @Override
+    public void shortOf(Offer offer, String why) {
+      refusedUntil.put(offer, now + REFUSED_PAUSE_MICROS);
+    }
+
+    @Override
+    public void gone(String machine) {
+      fleet.deleted(machine);
+    }
+
+    @Override
+    public void kept(String machine) {
+      fleet.keep(machine);
+    }
+
+    @Override
+    public boolean onRoster(String machine) {
+      return replica.roster.containsKey(machine);
+    }
+
+    @Override
+    public void info(String text) {
+      ports.info(text);
+    }
+
+    @Override
+    public void error(String text) {
+      ports.error(text);
+    }
   }
 
   private final Set<String> listed = new HashSet<>();
@@ -390,13 +465,20 @@
 
   private void returnNow(Machine m, String why) {
     ports.info("returning machine " + m.id + ": " + why + ", term=" + term);
+    leave(m);
+    duties.giveBack(m.id);
+  }
+
+  /** Nothing is placed on it any more; what it runs goes on until it is gone. */
+  private void leave(Machine m) {
     fleet.drain(m);
     m.plan = Machine.Plan.DELETE;
-    toDelete.add(m.id);
   }
 
   private void seen(Reply.CloudMachine listed) {
-    if (fleet.gone.contains(listed.id())) {
+    // The cloud's lists are old. Seen on the fleet's day of cuts: a new leader found 542 machines that the one before
+    // had just returned, took each for one that never came up, and returned it again.
+    if (fleet.gone.contains(listed.id()) || duties.leaving(listed.id()) && !fleet.machines.containsKey(listed.id())) {
       return;
     }
     Machine m = fleet.machines.get(listed.id());
@@ -407,9 +489,9 @@
       if (m == null) {
         m = fleet.expect(listed.id(), listed.address(), listed.type(), listed.zone(), listed.spot());
       }
-      fleet.drain(m);
-      m.plan = Machine.Plan.DELETE;
-      toDelete.add(m.id);
+      leave(m);
+      m.condemned = false;
+      duties.giveBack(m.id);
       return;
     }
     if (m == null) {
--- a/src/main/java/org/eiderstair/core/Replica.java
+++ b/src/main/java/org/eiderstair/core/Replica.java
@@ -54,6 +54,8 @@
   /** Jobs cancelled lately, the one seen first in front: a worker may still run their tasks. */
   private final ArrayDeque<Job> cancelled = new ArrayDeque<>();
   final Map<String, RosterEntry> roster = new HashMap<>();
+  /** Open rentals and returns by key, as they were written. */
+  final Map<String, Reply.Item> duties = new HashMap<>();
   private final Map<String, Long> dropped = new LinkedHashMap<>();
   private Leader leader;
   private long leaderVersion;
@@ -161,6 +163,11 @@
         apply(new Reply.Item(key, null, loadRevision));
       }
     }
+    for (Reply.Item duty : new ArrayList<>(duties.values())) {
+      if (!loading.contains(duty.key()) && duty.version() <= loadRevision) {
+        apply(new Reply.Item(duty.key(), null, loadRevision));
+      }
+    }
   }
 
   private void watch() {
@@ -202,6 +209,8 @@
         applyProgress(key.substring(Records.PROGRESS.length()), item);
       } else if (key.startsWith(Records.ROSTER)) {
         applyRoster(key.substring(Records.ROSTER.length()), item);
+      } else if (key.startsWith(Records.DUTY)) {
+        applyDuty(item);
       } else if (key.equals(Records.LEADER)) {
         applyLeader(item);
       } else if (key.equals(Records.CATALOG) && item.value() != null && item.version() > catalogVersion) {
@@ -228,6 +237,8 @@
       }
     } else if (key.startsWith(Records.ROSTER)) {
       roster.remove(key.substring(Records.ROSTER.length()));
+    } else if (key.startsWith(Records.DUTY)) {
+      duties.remove(key);
     } else if (key.equals(Records.LEADER) && leader != null) {
       leader = null;
       listener.leaderChanged();
@@ -292,6 +303,27 @@
     job.shownRunning = (int) Records.whole(item.value(), "run", 0);
   }
 
+  private void applyDuty(Reply.Item item) {
+    Reply.Item known = duties.get(item.key());
+    if (known != null && item.version() <= known.version() || item.version() <= dropped.getOrDefault(item.key(), 0L)) {
+      return;
+    }
+    if (item.value() == null) {
+      duties.remove(item.key());
+      droppedAt(item.key(), item.version());
+    } else {
+      duties.put(item.key(), item);
+    }
+  }
+
+  /** A late read or list must not bring a dropped key back. */
+  private void droppedAt(String key, long version) {
+    dropped.put(key, version);
+    if (dropped.size() > MOST_DROPPED) {
+      dropped.remove(dropped.keySet().iterator().next());
+    }
+  }
+
   private void applyRoster(String machine, Reply.Item item) {
     RosterEntry known = roster.get(machine);
     if (known != null && item.version() <= known.version()
@@ -300,10 +332,7 @@
     }
     if (item.value() == null) {
       roster.remove(machine);
-      dropped.put(machine, item.version());
-      if (dropped.size() > MOST_DROPPED) {
-        dropped.remove(dropped.keySet().iterator().next());
-      }
+      droppedAt(machine, item.version());
       return;
     }
     roster.put(machine, new RosterEntry(machine, Records.text(item.value(), "addr"),
--- a/src/main/java/org/eiderstair/core/Reply.java
+++ b/src/main/java/org/eiderstair/core/Reply.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import org.eiderstair.core.member.Hearing;
 
 /** What came of a {@link Request}. */
 public sealed interface Reply {
@@ -40,6 +41,9 @@
   /** A peer's word on whether the state service serves it, and whom it follows. */
   record PeerStanding(boolean served, String leader, long term) implements Reply {}
 
+  /** Which machines a peer hears by itself. */
+  record PeerHeard(Hearing hearing) implements Reply {}
+
   record Relayed(Answer answer) implements Reply {}
 
   /** Answered, and certainly not executed: the status says why (404, 410, 429, 503 ...). */
--- a/src/main/java/org/eiderstair/core/Request.java
+++ b/src/main/java/org/eiderstair/core/Request.java
@@ -38,9 +38,12 @@
 
   record WorkerCommands(String address, long token, long session, List<Order> orders) implements Request {}
 
-  /** A worker's report, passed to the leader by a node that the worker can reach. */
   /** Asks a peer whether the state service serves it. */
   record PeerAsk(String peer) implements Request {}
 
+  /** Asks a peer which machines it hears, as changes after what one of its runs has told already. */
+  record PeerHeard(String peer, String run, long after) implements Request {}
+
+  /** A worker's report, passed to the leader by a node that the worker can reach. */
   record PeerRelay(String peer, MachineReport report) implements Request {}
 }
--- a/src/main/java/org/eiderstair/core/Scheduler.java
+++ b/src/main/java/org/eiderstair/core/Scheduler.java
@@ -1,6 +1,7 @@
 package org.eiderstair.core;
 
 import java.util.function.IntUnaryOperator;
+import org.eiderstair.core.member.Membership;
 
 /** Everything that a leader does in one term. A new term starts with a new one: nothing is carried over. */
 final class Scheduler implements Ledger.Listener {
@@ -10,6 +11,10 @@
   private static final long SUMMARY_EVERY_MICROS = 10_000_000;
   private static final long REACH_EVERY_MICROS = 500_000;
 
+  /** Fewer may be machines that have just come up, and went to any node. */
+  private static final int HANDED_OVER = 3;
+
+  private final Membership membership;
   private final Ports ports;
   private final Leadership leadership;
   private final Replica replica;
@@ -25,8 +30,9 @@
   private long lastPassMicros = Long.MIN_VALUE / 2;
   private long now;
 
-  Scheduler(Settings settings, Ports ports, Replica replica, Leadership leadership, long term,
+  Scheduler(Settings settings, Ports ports, Replica replica, Leadership leadership, Membership membership, long term,
       IntUnaryOperator random) {
+    this.membership = membership;
     this.ports = ports;
     this.leadership = leadership;
     this.replica = replica;
@@ -37,7 +43,9 @@
     this.fleet = new Fleet(settings, ports, replica, leadership, ledger, tokens, teams, term);
     Demand demand = new Demand(settings, replica);
     this.placement = new Placement(settings, ports, replica, fleet, tokens, teams, term, demand, random);
-    this.renting = new Renting(settings, ports, replica, fleet, leadership, demand, term);
+    this.renting = new Renting(settings, ports, replica, fleet, leadership, ledger, demand, membership,
+        term);
+    membership.forgetZones();
   }
 
   void close() {
@@ -46,9 +54,9 @@
     renting.close();
   }
 
-  void reported(long exchange, MachineReport report, long nowMicros) {
+  void reported(long exchange, MachineReport report, boolean relayed, long nowMicros) {
     if (started) {
-      fleet.reported(exchange, report, nowMicros);
+      fleet.reported(exchange, report, relayed, nowMicros);
     } else {
       ports.respond(exchange, new Answer.Failure(503, "taking over", 0));
     }
@@ -73,6 +81,7 @@
       started = true;
       replica.jobs.values().forEach(Job::forgetPlaces);
       fleet.takeOver(now);
+      renting.takeOver(now);
     }
     // Passes are due soon after every event: one that is late says that there is more to do than can be done.
     fleet.tick(now, now > passDueMicros() + BUSY_MICROS);
@@ -83,9 +92,17 @@
         return;
       }
     }
+    boolean unreached = fleet.unreached();
+    membership.tick(unreached || renting.missesMachines(), now);
+    if (unreached && fleet.heardBy(membership) >= HANDED_OVER) {
+      // Whoever stands next hears them: sooner than by this node's patience, which is for machines that are dead.
+      leadership.giveUp("no machine reaches this node while peers hear " + fleet.heardBy(membership) + " of them: "
+          + membership.evidence());
+      return;
+    }
     if (now >= nextSummaryMicros) {
       nextSummaryMicros = now + SUMMARY_EVERY_MICROS;
-      ports.info("leading, term=" + term + ": " + placement.summary(now));
+      ports.info("leading, term=" + term + ": " + placement.summary(now) + "; " + renting.summary());
     }
     renting.tick(now);
     if (now >= passDueMicros()) {
@@ -118,5 +135,6 @@
   @Override
   public void rosterWritten(String machine) {
     fleet.rostered(machine);
+    renting.rostered(machine);
   }
 }
--- /dev/null
+++ b/src/main/java/org/eiderstair/core/member/Membership.java
@@ -0,0 +1,225 @@
+package org.eiderstair.core.member;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+
+/**
+ * Which machines any live controller hears. Each node keeps whom it hears itself, and tells a peer that asks what changed
+ * since the last time. A leader asks only while it misses machines, so on a quiet day this costs nothing.
+ */
+public final class Membership {
+  /** So many changes fit well into what a peer takes at once. */
+  private static final int MOST_TOLD = 400;
+  private static final long ASK_EVERY_MICROS = 500_000;
+  /** What a peer told is believed for so long without word from it. */
+  private static final long LIVE_MICROS = 3_000_000;
+  private static final long UNABLE_MICROS = 30_000_000;
+  private static final long SOON_MICROS = 2_000_000;
+  private static final long DARK_MICROS = 120_000_000;
+
+  /** How a peer is asked; it is told what came of it, null without an answer. */
+  public interface Asker {
+    void ask(String peer, String run, long after, Consumer<Answer> then);
+  }
+
+  /** A peer's answer; {@code hearing} is null when it does not understand the question. */
+  public record Answer(Hearing hearing) {}
+
+  /**
+   * What is known of a peer's hearing. UNKNOWN has told nothing yet, or lately; TOLD has; UNABLE is of a version that
+   * does not tell.
+   */
+  enum PeerState { UNKNOWN, TOLD, UNABLE }
+
+  private static final class Peer {
+    PeerState state = PeerState.UNKNOWN;
+    String run = "";
+    long after;
+    boolean asking;
+    long nextAskMicros;
+    long askedMicros;
+    /** When the question left whose answer is the latest: what it tells is no older. */
+    long toldMicros = Long.MIN_VALUE / 2;
+    final Set<String> hears = new HashSet<>();
+  }
+
+  private final Asker asker;
+  private final String run;
+  private final Ear ear;
+  private final Map<String, Peer> peers = new LinkedHashMap<>();
+  /** How many peers hear a machine. */
+  private final Map<String, Integer> heardBy = new HashMap<>();
+  /** Zones that nobody sees, and since when. */
+  private final Map<String, Long> darkZones = new HashMap<>();
+  private long now;
+
+  /** @param reportMicros how often a machine reports: one that has not for half as long again is not heard */
+  public Membership(List<String> peers, String run, long reportMicros, Asker asker) {
+    this.run = run;
+    this.asker = asker;
+    this.ear = new Ear(reportMicros * 3 / 2 + SOON_MICROS);
+    peers.forEach(p -> this.peers.put(p, new Peer()));
+  }
+
+  /** A new term judges anew. */
+  public void forgetZones() {
+    darkZones.clear();
+  }
+
+  /** A machine has reported to this node, not through a peer. */
+  public void heard(String machine, long nowMicros) {
+    ear.heard(machine, nowMicros);
+  }
+
+  /** What a peer that knows changes of a run up to a number is told. */
+  public Hearing tell(String ofRun, long after, long nowMicros) {
+    return ear.tell(run, run.equals(ofRun) ? after : -1, MOST_TOLD, nowMicros);
+  }
+
+  /** @param missed whether machines are missed, so that peers are asked for them */
+  public void tick(boolean missed, long nowMicros) {
+    now = nowMicros;
+    for (Map.Entry<String, Peer> e : peers.entrySet()) {
+      Peer p = e.getValue();
+      if (p.state == PeerState.TOLD && now > p.toldMicros + LIVE_MICROS) {
+        become(p, PeerState.UNKNOWN);
+      }
+      if (missed && !p.asking && now >= p.nextAskMicros) {
+        ask(e.getKey(), p);
+      }
+    }
+  }
+
+  private void ask(String name, Peer p) {
+    p.asking = true;
+    p.askedMicros = now;
+    p.nextAskMicros = now + ASK_EVERY_MICROS;
+    String knownRun = p.run;
+    long knownAfter = p.after;
+    asker.ask(name, p.run, p.after, answer -> {
+      p.asking = false;
+      // Changes after what is forgotten here by now would leave out the rest: machines heard there would seem silent.
+      if (answer == null || !p.run.equals(knownRun) || p.after != knownAfter) {
+        return;
+      }
+      if (answer.hearing() == null) {
+        become(p, PeerState.UNABLE);
+        p.nextAskMicros = now + UNABLE_MICROS;
+        return;
+      }
+      take(p, answer.hearing());
+      if (answer.hearing().more()) {
+        p.nextAskMicros = now;
+      } else {
+        p.toldMicros = p.askedMicros;
+        become(p, PeerState.TOLD);
+      }
+    });
+  }
+
+  private void take(Peer p, Hearing told) {
+    if (told.whole() || !told.run().equals(p.run)) {
+      forget(p);
+    }
+    p.run = told.run();
+    p.after = told.last();
+    for (Hearing.Change c : told.changes()) {
+      if (c.heard() && p.hears.add(c.machine())) {
+        heardBy.merge(c.machine(), 1, Integer::sum);
+      } else if (!c.heard() && p.hears.remove(c.machine())) {
+        heardBy.computeIfPresent(c.machine(), (m, n) -> n == 1 ? null : n - 1);
+      }
+    }
+  }
+
+  private void forget(Peer p) {
+    for (String machine : p.hears) {
+      heardBy.computeIfPresent(machine, (m, n) -> n == 1 ? null : n - 1);
+    }
+    p.hears.clear();
+  }
+
+  /** The one function for every change of what is known of a peer. */
+  private void become(Peer p, PeerState next) {
+    if (next != PeerState.TOLD) {
+      forget(p);
+      p.run = "";
+      p.after = 0;
+    }
+    p.state = next;
+  }
+
+  /**
+   * Looks at all machines of a term together. Many gone silent together are one fault, this node's or a zone's, more
+   * likely than many.
+   *
+   * @param patienceMicros how long a machine alone may be silent
+   * @param darkMicros how long one of a zone that nobody sees may be
+   */
+  public Survey survey(Iterable<? extends Survey.Member> machines, long patienceMicros, long darkMicros,
+      long nowMicros) {
+    now = nowMicros;
+    Survey survey = new Survey(this, machines, patienceMicros, darkMicros, nowMicros);
+    survey.zones((zone, dark, latestMicros) -> {
+      if (dark) {
+        darkZones.putIfAbsent(zone, now);
+      }
+    });
+    survey.zones((zone, dark, latestMicros) -> {
+      Long since = darkZones.get(zone);
+      if (since != null && !dark && latestMicros > Math.max(since, now - LIVE_MICROS)) {
+        darkZones.remove(zone);
+      }
+    });
+    // A zone whose machines were all given back has none that could tell that it is seen again.
+    darkZones.values().removeIf(since -> now > since + DARK_MICROS);
+    return survey;
+  }
+
+  /** Whether most machines of a zone were silent lately, and none of it has been heard since. */
+  public boolean isDark(String zone) {
+    return darkZones.containsKey(zone);
+  }
+
+  /** Whether any live controller but this one hears the machine. */
+  public boolean heardElsewhere(String machine) {
+    return heardBy.containsKey(machine);
+  }
+
+  /** Whether every peer that can has told what it hears since then. */
+  public boolean allToldSince(long micros) {
+    for (Peer p : peers.values()) {
+      if (p.state != PeerState.UNABLE && (p.state != PeerState.TOLD || p.toldMicros < micros)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** How many machines peers hear, of those that {@code which} names. */
+  public int heardElsewhere(Predicate<String> which) {
+    int count = 0;
+    for (String machine : heardBy.keySet()) {
+      count += which.test(machine) ? 1 : 0;
+    }
+    return count;
+  }
+
+  /** For the log: how many of the peers have told lately what they hear. */
+  public String evidence() {
+    List<String> told = new ArrayList<>();
+    peers.forEach((name, p) -> {
+      if (p.state == PeerState.TOLD) {
+        told.add(name + " hears " + p.hears.size());
+      }
+    });
+    return told.isEmpty() ? "no peer tells" : String.join(", ", told);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/eiderstair/core/member/Survey.java
@@ -0,0 +1,137 @@
+package org.eiderstair.core.member;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Why machines are silent, judged over all of them at one moment. A leader that lost its workers destroyed a healthy
+ * fleet within ten seconds: each machine by itself looked dead.
+ */
+public final class Survey {
+  /** Fewer silent machines than that are no zone's fault and none of this node's. */
+  private static final int MANY = 3;
+  /** So many times the patience with one machine when most of all are silent. */
+  private static final int CUT_OFF_FACTOR = 3;
+
+  /** A machine as its leader knows it. */
+  public interface Member {
+    String machine();
+
+    String zone();
+
+    /** When the leader heard it last, by itself or through a peer; Long.MAX_VALUE for one that has yet to come up. */
+    long lastHeardMicros();
+
+    /** Work of earlier terms may be on it, and waits until it is heard or gone. */
+    boolean holdsBack();
+  }
+
+  /**
+   * HEARD is not silent. DOUBTED is, but not for long, or peers have yet to say whether they hear it. ELSEWHERE is heard
+   * by a peer. CUT_OFF: most machines are silent, so the fault is likely this node's. DARK: its zone is. SILENT is
+   * taken for dead.
+   */
+  public enum Verdict { HEARD, DOUBTED, ELSEWHERE, CUT_OFF, DARK, SILENT }
+
+  private static final class Zone {
+    int silent;
+    int all;
+    long latestMicros = Long.MIN_VALUE / 2;
+
+    boolean dark() {
+      return silent >= MANY && silent * 2 > all;
+    }
+  }
+
+  private final Membership peers;
+  private final long patienceMicros;
+  private final long darkMicros;
+  private final long now;
+  private final Map<String, Zone> zones = new HashMap<>();
+  private int silent;
+  private int all;
+  private int elsewhere;
+
+  Survey(Membership peers, Iterable<? extends Member> machines, long patienceMicros, long darkMicros, long now) {
+    this.peers = peers;
+    this.patienceMicros = patienceMicros;
+    this.darkMicros = darkMicros;
+    this.now = now;
+    for (Member m : machines) {
+      if (m.lastHeardMicros() == Long.MAX_VALUE) {
+        continue;
+      }
+      Zone zone = zones.computeIfAbsent(String.valueOf(m.zone()), z -> new Zone());
+      all++;
+      zone.all++;
+      zone.latestMicros = Math.max(zone.latestMicros, m.lastHeardMicros());
+      if (isMissed(m)) {
+        boolean there = peers.heardElsewhere(m.machine());
+        elsewhere += there ? 1 : 0;
+        silent += there ? 0 : 1;
+        zone.silent += there ? 0 : 1;
+      }
+    }
+  }
+
+  /** Silent for long enough to ask peers for it, so that they have answered when patience is over. */
+  private boolean isMissed(Member m) {
+    return m.lastHeardMicros() != Long.MAX_VALUE && now > m.lastHeardMicros() + patienceMicros * 4 / 5;
+  }
+
+  /** Whether peers are to be asked. */
+  public boolean misses() {
+    return silent + elsewhere > 0;
+  }
+
+  interface ZoneUse {
+    void take(String zone, boolean dark, long latestMicros);
+  }
+
+  /** Each zone, whether most of its machines are silent now, and when one of it was heard last. */
+  void zones(ZoneUse use) {
+    zones.forEach((name, z) -> use.take(name, z.dark(), z.latestMicros));
+  }
+
+  public boolean cutOff() {
+    return silent >= MANY && silent * 2 > all;
+  }
+
+  public Verdict of(Member m) {
+    long last = m.lastHeardMicros();
+    if (!isMissed(m)) {
+      return Verdict.HEARD;
+    }
+    if (peers.heardElsewhere(m.machine())) {
+      return Verdict.ELSEWHERE;
+    }
+    if (now <= last + patienceMicros) {
+      return Verdict.DOUBTED;
+    }
+    // What peers told before the machine was missed proves nothing. One that cannot be reached is not waited for longer.
+    if (!peers.allToldSince(last) && now <= last + patienceMicros * 5 / 4) {
+      return Verdict.DOUBTED;
+    }
+    if (cutOff() && now <= last + patienceMicros * CUT_OFF_FACTOR) {
+      return Verdict.CUT_OFF;
+    }
+    // Waiting costs little, as what is on it comes free when its lease ends; but not where only its end tells.
+    if (peers.isDark(String.valueOf(m.zone())) && !m.holdsBack() && now <= last + darkMicros) {
+      return Verdict.DARK;
+    }
+    return Verdict.SILENT;
+  }
+
+  /** The same of all machines together. */
+  public String evidence() {
+    return silent + " of " + all + " silent, " + elsewhere + " heard by peers alone" + (cutOff() ? ", cut off" : "")
+        + "; " + peers.evidence();
+  }
+
+  /** What a verdict rests on, for the log. */
+  public String evidence(Member m) {
+    Zone z = zones.getOrDefault(String.valueOf(m.zone()), new Zone());
+    return "silent for " + (now - m.lastHeardMicros()) / 1000 + " ms, as " + silent + " of " + all + " machines and "
+        + z.silent + " of " + z.all + " in " + m.zone() + "; " + peers.evidence();
+  }
+}
--- a/src/main/java/org/eiderstair/http/Inbound.java
+++ b/src/main/java/org/eiderstair/http/Inbound.java
@@ -109,6 +109,8 @@
       Open exchange = new Open(from, true);
       if (path.equals(PeerMessages.STANDING_PATH)) {
         with(exchange, method, "GET", body, (id, b) -> events.accept(new Event.PeerAsked(id)));
+      } else if (path.equals(PeerMessages.HEARD_PATH)) {
+        with(exchange, method, "POST", body, (id, b) -> events.accept(PeerMessages.heardAsked(id, b)));
       } else if (path.equals(PeerMessages.RELAY_PATH)) {
         with(exchange, method, "POST", body, (id, b) ->
             events.accept(new Event.Reported(id, PeerMessages.report(b), true)));
@@ -170,6 +172,8 @@
     ServedConnection to = exchange.connection();
     if (answer instanceof Answer.Standing standing) {
       write(to, 200, PeerMessages.standing(standing));
+    } else if (answer instanceof Answer.Heard heard) {
+      write(to, 200, PeerMessages.heard(heard.hearing()));
     } else if (exchange.ofPeer()) {
       write(to, 200, PeerMessages.answer(answer));
     } else if (answer instanceof Answer.JobView view) {
--- a/src/main/java/org/eiderstair/http/Outbound.java
+++ b/src/main/java/org/eiderstair/http/Outbound.java
@@ -130,6 +130,9 @@
           content -> new Reply.Relayed(PeerMessages.answer(content)));
     } else if (request instanceof Request.PeerAsk ask) {
       peer(call, ask.peer(), GET, PeerMessages.STANDING_PATH, null, PeerMessages::standing);
+    } else if (request instanceof Request.PeerHeard heard) {
+      peer(call, heard.peer(), POST, PeerMessages.HEARD_PATH, PeerMessages.heardAsk(heard.run(), heard.after()),
+          PeerMessages::heard);
     } else {
       throw new IllegalArgumentException("no way to send " + request);
     }
--- a/src/main/java/org/eiderstair/node/CoreLoop.java
+++ b/src/main/java/org/eiderstair/node/CoreLoop.java
@@ -123,11 +123,6 @@
     if (LOG.isInfoEnabled()) {
       counts.merge(event.getClass().getSimpleName(), 1, Integer::sum);
     }
-    try {
-      core.take(event, nowMicros());
-    } catch (RuntimeException e) {
-      // An event that the core cannot take must not end the node; the picture is mended by later reports.
-      LOG.error("event failed", e);
-    }
+    core.take(event, nowMicros());
   }
 }
--- a/src/main/java/org/eiderstair/peer/PeerMessages.java
+++ b/src/main/java/org/eiderstair/peer/PeerMessages.java
@@ -6,10 +6,15 @@
 import java.util.List;
 import org.apache.avro.AvroRuntimeException;
 import org.eiderstair.core.Answer;
+import org.eiderstair.core.Event;
 import org.eiderstair.core.MachineReport;
 import org.eiderstair.core.Order;
 import org.eiderstair.core.Reply;
 import org.eiderstair.core.TaskId;
+import org.eiderstair.core.member.Hearing;
+import org.eiderstair.peer.wire.HeardAsk;
+import org.eiderstair.peer.wire.HeardChange;
+import org.eiderstair.peer.wire.HeardTold;
 import org.eiderstair.peer.wire.PeerStanding;
 import org.eiderstair.peer.wire.RelayedAnswer;
 import org.eiderstair.peer.wire.RelayedExit;
@@ -26,6 +31,7 @@
  */
 public final class PeerMessages {
   public static final String RELAY_PATH = "/peer/relay";
+  public static final String HEARD_PATH = "/peer/heard";
   public static final String STANDING_PATH = "/peer/standing";
   public static final int MOST_BYTES = 128 * 1024;
 
@@ -124,6 +130,49 @@
     }
   }
 
+  public static byte[] heardAsk(String run, long after) {
+    try {
+      return bytes(HeardAsk.getEncoder().encode(new HeardAsk(run, after)));
+    } catch (IOException e) {
+      throw new IllegalStateException("encoding to memory failed", e);
+    }
+  }
+
+  public static Event.PeerHeardAsked heardAsked(long exchange, byte[] bytes) throws Malformed {
+    try {
+      HeardAsk asked = HeardAsk.getDecoder().decode(bytes);
+      return new Event.PeerHeardAsked(exchange, asked.getRun(), asked.getAfter());
+    } catch (IOException | AvroRuntimeException | IndexOutOfBoundsException e) {
+      throw new Malformed("not a question for machines heard: " + e.getMessage());
+    }
+  }
+
+  public static byte[] heard(Hearing hearing) {
+    List<HeardChange> changes = new ArrayList<>(hearing.changes().size());
+    for (Hearing.Change c : hearing.changes()) {
+      changes.add(new HeardChange(c.machine(), c.heard(), c.forMicros()));
+    }
+    try {
+      return bytes(HeardTold.getEncoder().encode(
+          new HeardTold(hearing.run(), hearing.whole(), hearing.last(), hearing.more(), changes)));
+    } catch (IOException e) {
+      throw new IllegalStateException("encoding to memory failed", e);
+    }
+  }
+
+  public static Reply.PeerHeard heard(byte[] bytes) throws Malformed {
+    try {
+      HeardTold told = HeardTold.getDecoder().decode(bytes);
+      List<Hearing.Change> changes = new ArrayList<>(told.getChanges().size());
+      for (HeardChange c : told.getChanges()) {
+        changes.add(new Hearing.Change(c.getMachine(), c.getHeard(), c.getForMicros()));
+      }
+      return new Reply.PeerHeard(new Hearing(told.getRun(), told.getWhole(), told.getLast(), told.getMore(), changes));
+    } catch (IOException | AvroRuntimeException | IndexOutOfBoundsException e) {
+      throw new Malformed("not machines heard: " + e.getMessage());
+    }
+  }
+
   private static byte[] bytes(ByteBuffer buffer) {
     byte[] bytes = new byte[buffer.remaining()];
     buffer.get(bytes);
--- a/src/test/java/org/eiderstair/core/AllocationTest.java
+++ b/src/test/java/org/eiderstair/core/AllocationTest.java
@@ -76,7 +76,7 @@
       bench.effects.clear();
       within("report", machines, bytes(i -> {
         bench.now += 1_000;
-        bench.fleet.reported(++bench.exchange, WorkerMessages.report(bodies.get(i)), bench.now);
+        bench.fleet.reported(++bench.exchange, WorkerMessages.report(bodies.get(i)), false, bench.now);
         bench.fleet.flush(bench.now);
         Answer.Command answer = (Answer.Command) ((Effect.Respond) bench.effects.get(0)).answer();
         WorkerMessages.orders(answer.token(), answer.orders());
--- a/src/test/java/org/eiderstair/core/FleetTest.java
+++ b/src/test/java/org/eiderstair/core/FleetTest.java
@@ -62,7 +62,7 @@
   }
 
   private void reported(MachineReport report, long nowMicros) {
-    fleet.reported(++exchange, report, nowMicros);
+    fleet.reported(++exchange, report, false, nowMicros);
   }
 
   private MachineReport report(long session, long sequence, long token, long notice, Entry... entries) {
@@ -127,7 +127,7 @@
     Fleet other = new Fleet(settings, sending, replica, leadership(), null, new TokenList(10), new Teams(settings), 1);
     launched(Attempt.Phase.SEEN);
     other.add(machine);
-    other.reported(9, report(1, 1, machine.token(), -1), 1_000_000);
+    other.reported(9, report(1, 1, machine.token(), -1), false, 1_000_000);
     other.flush(1_000_000);
     assertTrue(sent.stream().anyMatch(e -> e instanceof Effect.Respond r && r.notAfterMicros() < Effect.WHENEVER));
   }
--- a/src/test/java/org/eiderstair/core/LeaderBench.java
+++ b/src/test/java/org/eiderstair/core/LeaderBench.java
@@ -96,7 +96,7 @@
     long sequence = sequences.merge(m.id, 1L, Long::sum);
     now += 1_000;
     fleet.reported(++exchange, new MachineReport(m.id, "x", "t", m.zone, m.spot, m.session, sequence, m.token(),
-        MachineReport.NO_NOTICE, entries), now);
+        MachineReport.NO_NOTICE, entries), false, now);
   }
 
   /** Stands for the commands and answers that bring what was planned to the machines. */
--- a/src/test/java/org/eiderstair/sim/Day.java
+++ b/src/test/java/org/eiderstair/sim/Day.java
@@ -236,6 +236,11 @@
           peer.handle(new Event.Reported(peer.lastExchange, relay.report(), true));
         }
       });
+    } else if (request instanceof Request.PeerHeard heard) {
+      Node peer = nodes[indexOf(heard.peer())];
+      net.send(from.name(), peer.name(), () -> ask(peer, x -> new Event.PeerHeardAsked(x, heard.run(), heard.after()),
+          answer -> net.send(peer.name(), from.name(),
+              () -> reply.accept(new Reply.PeerHeard(((Answer.Heard) answer).hearing())))));
     } else if (request instanceof Request.PeerAsk ask) {
       Node peer = nodes[indexOf(ask.peer())];
       net.send(from.name(), peer.name(), () -> {
