--- a/src/main/java/org/eiderstair/config/PlatformFile.java
+++ b/src/main/java/org/eiderstair/config/PlatformFile.java
@@ -37,10 +37,13 @@
     JsonNode resources = settings.path("resources");
     JsonNode endpoints = table(root, "endpoints");
     List<String> peers = new ArrayList<>();
+    Map<String, String> nodeZones = new LinkedHashMap<>();
+    nodeZones.put(root.path("node").asText(""), root.path("domain").asText(""));
     Map<String, String> peerAddresses = new LinkedHashMap<>();
     for (JsonNode peer : root.path("others")) {
       String name = text(peer, "others.node", "node");
       peers.add(name);
+      nodeZones.put(name, peer.path("domain").asText(""));
       peerAddresses.put(name, address(peer, "others.address", "address"));
     }
     List<String> zones = new ArrayList<>();
@@ -57,7 +60,7 @@
         micros(workers, "settings.workers.report_s", "report_s"), lease, cancel,
         positive(state, "settings.state.rps", "rps"), positive(state, "settings.state.write_rps", "write_rps"),
         (int) positive(state, "settings.state.txn_ops", "txn_ops"), positive(cloud, "settings.cloud.rps", "rps"),
-        tuning);
+        tuning, nodeZones);
     String bind = address(root, "bind", "bind");
     String peerBind = address(root, "peer_bind", "peer_bind");
     return new NodeConfig(core, host(bind), port(bind), host(peerBind), port(peerBind),
--- a/src/main/java/org/eiderstair/core/Core.java
+++ b/src/main/java/org/eiderstair/core/Core.java
@@ -38,7 +38,8 @@
     this.relay = new Relay(ports);
     this.reach = new StateReach(settings, ports, replica);
     ports.watch(reach::replied);
-    this.membership = new Membership(settings.peers(), incarnation, settings.reportMicros(), this::askHeard);
+    this.membership = new Membership(settings.node(), settings.peers(), settings.nodeZones(), incarnation,
+        settings.reportMicros(), this::askHeard);
     this.leadership = new Leadership(settings, ports, replica, incarnation, random, this);
   }
 
--- a/src/main/java/org/eiderstair/core/Renting.java
+++ b/src/main/java/org/eiderstair/core/Renting.java
@@ -25,6 +25,8 @@
   private static final long CHEAPEST_LIFE_MICROS = 60_000_000;
   private static final int BOOT_PATIENCE = 4;
   private static final int MOST_RENTALS = 4;
+  /** Above every price. */
+  private static final double UNSEEN_PRICE = 1e9;
   private static final long RENT_GAP_MICROS = 100_000;
   /** Lists lag by up to twice what the settings say, and a replaced leader's deletions are known by the marks alone. */
   private static final long TOMBSTONE_MICROS = 30_000_000;
@@ -231,7 +233,10 @@
   private void balance() {
     List<Room> rooms = new ArrayList<>();
     for (Machine m : fleet.machines.values()) {
-      if (m.plan == Machine.Plan.USE && m.type != null) {
+      // What nobody sees is asked for elsewhere; it is not given back for it.
+      boolean dark = survey != null && survey.of(m) == Survey.Verdict.DARK;
+      m.surplus = false;
+      if (m.plan == Machine.Plan.USE && m.type != null && !dark) {
         rooms.add(new Room(m));
       }
     }
@@ -286,11 +291,12 @@
         for (boolean spot : new boolean[] {true, false}) {
           Offer offer = new Offer(type.name(), zone, spot);
           double price = (spot ? type.spotPrice() : type.price()) / Math.max(type.cpus(), 0.01);
-          // In a zone that nobody sees a machine would boot unseen, and be paid for.
-          if (!spec.allows(type.name(), zone, spot) || spot && type.spotPrice() <= 0 || membership.isDark(zone)
+          if (!spec.allows(type.name(), zone, spot) || spot && type.spotPrice() <= 0
               || now < refusedUntil.getOrDefault(offer, 0L)) {
             continue;
           }
+          // In a zone that nobody sees a machine boots unseen, and is paid for: only where no other zone has room.
+          price += membership.isDark(zone) ? UNSEEN_PRICE : 0;
           int there = inZone(zone);
           if (price < bestPrice - 1e-9 || price < bestPrice + 1e-9 && there < bestCount) {
             best = offer;
--- a/src/main/java/org/eiderstair/core/Settings.java
+++ b/src/main/java/org/eiderstair/core/Settings.java
@@ -3,7 +3,11 @@
 import java.util.List;
 import java.util.Map;
 
-/** What the core needs to know of its deployment. Read from the platform's file and the operators' own. */
+/**
+ * What the core needs to know of its deployment. Read from the platform's file and the operators' own.
+ *
+ * @param nodeZones the zone of each controller, this one included, as far as it is known
+ */
 public record Settings(
     String node,
     List<String> peers,
@@ -17,7 +21,16 @@
     double stateWriteRps,
     int stateTxnOps,
     double cloudRps,
-    Tuning tuning) {
+    Tuning tuning,
+    Map<String, String> nodeZones) {
+
+  /** Where it is not known in which zones the controllers are. */
+  public Settings(String node, List<String> peers, List<String> zones, Map<String, Team> teams,
+      List<Objective> objectives, long reportMicros, long leaseMicros, long cancelMicros, double stateRps,
+      double stateWriteRps, int stateTxnOps, double cloudRps, Tuning tuning) {
+    this(node, peers, zones, teams, objectives, reportMicros, leaseMicros, cancelMicros, stateRps, stateWriteRps,
+        stateTxnOps, cloudRps, tuning, Map.of());
+  }
 
   /**
    * How long requests of one kind are gathered before one asks the state service for all of them: with watching and
--- a/src/main/java/org/eiderstair/core/member/Membership.java
+++ b/src/main/java/org/eiderstair/core/member/Membership.java
@@ -21,6 +21,8 @@
   /** What a peer told is believed for so long without word from it. */
   private static final long LIVE_MICROS = 3_000_000;
   private static final long UNABLE_MICROS = 30_000_000;
+  /** A peer that has not answered for so long is taken to be out of reach. */
+  private static final long ANSWER_MICROS = 1_000_000;
   private static final long SOON_MICROS = 2_000_000;
   private static final long DARK_MICROS = 120_000_000;
 
@@ -50,6 +52,8 @@
     final Set<String> hears = new HashSet<>();
   }
 
+  private final String node;
+  private final Map<String, String> nodeZones;
   private final Asker asker;
   private final String run;
   private final Ear ear;
@@ -60,8 +64,15 @@
   private final Map<String, Long> darkZones = new HashMap<>();
   private long now;
 
-  /** @param reportMicros how often a machine reports: one that has not for half as long again is not heard */
-  public Membership(List<String> peers, String run, long reportMicros, Asker asker) {
+  /**
+   * @param nodeZones the zone of each node, this one included, as far as it is known
+   * @param run differs for every run of this node
+   * @param reportMicros how often a machine reports: one that has not for half as long again is not heard
+   */
+  public Membership(String node, List<String> peers, Map<String, String> nodeZones, String run, long reportMicros,
+      Asker asker) {
+    this.node = node;
+    this.nodeZones = nodeZones;
     this.run = run;
     this.asker = asker;
     this.ear = new Ear(reportMicros * 3 / 2 + SOON_MICROS);
@@ -91,7 +102,7 @@
       if (p.state == PeerState.TOLD && now > p.toldMicros + LIVE_MICROS) {
         become(p, PeerState.UNKNOWN);
       }
-      if (missed && !p.asking && now >= p.nextAskMicros) {
+      if ((missed || !darkZones.isEmpty()) && !p.asking && now >= p.nextAskMicros) {
         ask(e.getKey(), p);
       }
     }
@@ -120,6 +131,8 @@
       } else {
         p.toldMicros = p.askedMicros;
         become(p, PeerState.TOLD);
+        // A zone is cut off only while nobody reaches its controllers either.
+        darkZones.remove(nodeZones.get(name));
       }
     });
   }
@@ -168,7 +181,7 @@
     now = nowMicros;
     Survey survey = new Survey(this, machines, patienceMicros, darkMicros, nowMicros);
     survey.zones((zone, dark, latestMicros) -> {
-      if (dark) {
+      if (dark && !reached(zone)) {
         darkZones.putIfAbsent(zone, now);
       }
     });
@@ -183,6 +196,17 @@
     return survey;
   }
 
+  /** Whether this node or a peer that answers is in the zone: then its silent machines are dead, not cut off. */
+  private boolean reached(String zone) {
+    for (Map.Entry<String, String> e : nodeZones.entrySet()) {
+      Peer p = peers.get(e.getKey());
+      if (zone.equals(e.getValue()) && (e.getKey().equals(node) || p != null && p.state == PeerState.TOLD)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Whether most machines of a zone were silent lately, and none of it has been heard since. */
   public boolean isDark(String zone) {
     return darkZones.containsKey(zone);
@@ -193,14 +217,15 @@
     return heardBy.containsKey(machine);
   }
 
-  /** Whether every peer that can has told what it hears since then. */
-  public boolean allToldSince(long micros) {
+  /** Whether some peer has yet to say what it has heard since then, and may still: it was asked just now. */
+  boolean mayYetTell(long sinceMicros) {
     for (Peer p : peers.values()) {
-      if (p.state != PeerState.UNABLE && (p.state != PeerState.TOLD || p.toldMicros < micros)) {
-        return false;
+      boolean told = p.state == PeerState.TOLD && p.toldMicros >= sinceMicros;
+      if (!told && p.state != PeerState.UNABLE && (!p.asking || now < p.askedMicros + ANSWER_MICROS)) {
+        return true;
       }
     }
-    return true;
+    return false;
   }
 
   /** How many machines peers hear, of those that {@code which} names. */
--- a/src/main/java/org/eiderstair/core/member/Survey.java
+++ b/src/main/java/org/eiderstair/core/member/Survey.java
@@ -76,7 +76,8 @@
 
   /** Silent for long enough to ask peers for it, so that they have answered when patience is over. */
   private boolean isMissed(Member m) {
-    return m.lastHeardMicros() != Long.MAX_VALUE && now > m.lastHeardMicros() + patienceMicros * 4 / 5;
+    long patience = m.holdsBack() ? patienceMicros / 2 : patienceMicros;
+    return m.lastHeardMicros() != Long.MAX_VALUE && now > m.lastHeardMicros() + patience * 4 / 5;
   }
 
   /** Whether peers are to be asked. */
@@ -105,18 +106,21 @@
     if (peers.heardElsewhere(m.machine())) {
       return Verdict.ELSEWHERE;
     }
-    if (now <= last + patienceMicros) {
+    boolean dark = peers.isDark(String.valueOf(m.zone()));
+    // Where all work waits for what is unheard, a whole zone that nobody sees has said enough in half the time.
+    long patience = m.holdsBack() && dark && !cutOff() ? patienceMicros / 2 : patienceMicros;
+    if (now <= last + patience) {
       return Verdict.DOUBTED;
     }
     // What peers told before the machine was missed proves nothing. One that cannot be reached is not waited for longer.
-    if (!peers.allToldSince(last) && now <= last + patienceMicros * 5 / 4) {
+    if (peers.mayYetTell(last) && now <= last + patience * 5 / 4) {
       return Verdict.DOUBTED;
     }
     if (cutOff() && now <= last + patienceMicros * CUT_OFF_FACTOR) {
       return Verdict.CUT_OFF;
     }
     // Waiting costs little, as what is on it comes free when its lease ends; but not where only its end tells.
-    if (peers.isDark(String.valueOf(m.zone())) && !m.holdsBack() && now <= last + darkMicros) {
+    if (dark && !m.holdsBack() && now <= last + darkMicros) {
       return Verdict.DARK;
     }
     return Verdict.SILENT;
