--- a/src/main/java/org/eiderstair/core/Core.java
+++ b/src/main/java/org/eiderstair/core/Core.java
@@ -39,7 +39,7 @@
     this.reach = new StateReach(settings, ports, replica);
     ports.watch(reach::replied);
     this.membership = new Membership(settings.node(), settings.peers(), settings.nodeZones(), incarnation,
-        settings.reportMicros(), this::askHeard);
+        settings.reportMicros(), this::askHeard, ports::info);
     this.leadership = new Leadership(settings, ports, replica, incarnation, random, this);
   }
 
--- a/src/main/java/org/eiderstair/core/Renting.java
+++ b/src/main/java/org/eiderstair/core/Renting.java
@@ -423,6 +423,11 @@
       fleet.keep(machine);
     }
 
+    @Override
+    public boolean isGone(String machine) {
+      return fleet.gone.contains(machine);
+    }
+
     @Override
     public boolean onRoster(String machine) {
       return replica.roster.containsKey(machine);
--- a/src/main/java/org/eiderstair/core/duty/Duties.java
+++ b/src/main/java/org/eiderstair/core/duty/Duties.java
@@ -69,6 +69,9 @@
 
     boolean onRoster(String machine);
 
+    /** Whether this epoch has had it confirmed that the machine is gone. */
+    boolean isGone(String machine);
+
     void info(String text);
 
     void error(String text);
@@ -115,8 +118,13 @@
           resume(RentalIntent.read(key.substring(RENTALS.length()), value));
         } else if (key.startsWith(RETURNS)) {
           Return r = Return.read(key.substring(RETURNS.length()), value);
-          returns.put(r.name, r);
-          r.machines().forEach(m -> returnOf.put(m, r));
+          if (r.machines().isEmpty()) {
+            // All of it was taken back, and its holder ended before it could say so.
+            host.drop(key, () -> { });
+          } else {
+            returns.put(r.name, r);
+            r.machines().forEach(m -> returnOf.put(m, r));
+          }
         }
       } catch (RuntimeException e) {
         host.error("unreadable duty " + key + ", left alone, term=" + epoch + ": " + e.getMessage());
@@ -145,7 +153,7 @@
       }
     }
     host.booting(r.charter, r.offer, booting, age);
-    r.machines().stream().filter(host::onRoster).toList().forEach(this::accounted);
+    r.machines().stream().filter(m -> host.onRoster(m) || host.isGone(m)).toList().forEach(this::accounted);
   }
 
   public void close() {
--- a/src/main/java/org/eiderstair/core/member/Membership.java
+++ b/src/main/java/org/eiderstair/core/member/Membership.java
@@ -40,6 +40,9 @@
    */
   enum PeerState { UNKNOWN, TOLD, UNABLE }
 
+  /** DARK: most of a zone's machines are silent, and none of its controllers answers; SEEN else. */
+  enum ZoneState { SEEN, DARK }
+
   private static final class Peer {
     PeerState state = PeerState.UNKNOWN;
     String run = "";
@@ -52,6 +55,7 @@
     final Set<String> hears = new HashSet<>();
   }
 
+  private final Consumer<String> log;
   private final String node;
   private final Map<String, String> nodeZones;
   private final Asker asker;
@@ -70,7 +74,8 @@
    * @param reportMicros how often a machine reports: one that has not for half as long again is not heard
    */
   public Membership(String node, List<String> peers, Map<String, String> nodeZones, String run, long reportMicros,
-      Asker asker) {
+      Asker asker, Consumer<String> log) {
+    this.log = log;
     this.node = node;
     this.nodeZones = nodeZones;
     this.run = run;
@@ -132,7 +137,9 @@
         p.toldMicros = p.askedMicros;
         become(p, PeerState.TOLD);
         // A zone is cut off only while nobody reaches its controllers either.
-        darkZones.remove(nodeZones.get(name));
+        if (nodeZones.containsKey(name)) {
+          become(nodeZones.get(name), ZoneState.SEEN, name + " answers");
+        }
       }
     });
   }
@@ -181,21 +188,35 @@
     now = nowMicros;
     Survey survey = new Survey(this, machines, patienceMicros, darkMicros, nowMicros);
     survey.zones((zone, dark, latestMicros) -> {
-      if (dark && !reached(zone)) {
-        darkZones.putIfAbsent(zone, now);
+      if (dark && !reached(zone) && !darkZones.containsKey(zone)) {
+        become(zone, ZoneState.DARK, survey.evidence());
       }
     });
     survey.zones((zone, dark, latestMicros) -> {
       Long since = darkZones.get(zone);
       if (since != null && !dark && latestMicros > Math.max(since, now - LIVE_MICROS)) {
-        darkZones.remove(zone);
+        become(zone, ZoneState.SEEN, "its machines are heard again");
       }
     });
-    // A zone whose machines were all given back has none that could tell that it is seen again.
-    darkZones.values().removeIf(since -> now > since + DARK_MICROS);
+    for (Map.Entry<String, Long> e : List.copyOf(darkZones.entrySet())) {
+      // A zone whose machines were all given back has none that could tell that it is seen again.
+      if (now > e.getValue() + DARK_MICROS) {
+        become(e.getKey(), ZoneState.SEEN, "no word for long");
+      }
+    }
     return survey;
   }
 
+  /** The one function for every change of what is known of a zone. */
+  private void become(String zone, ZoneState next, String why) {
+    if (next == ZoneState.DARK) {
+      darkZones.put(zone, now);
+    } else if (darkZones.remove(zone) == null) {
+      return;
+    }
+    log.accept("zone " + zone + " is " + next + ": " + why);
+  }
+
   /** Whether this node or a peer that answers is in the zone: then its silent machines are dead, not cut off. */
   private boolean reached(String zone) {
     for (Map.Entry<String, String> e : nodeZones.entrySet()) {
--- a/src/main/java/org/eiderstair/http/Outbound.java
+++ b/src/main/java/org/eiderstair/http/Outbound.java
@@ -64,9 +64,17 @@
   private final Map<String, Destination> destinations = new HashMap<>();
   private final Set<Exchange> underWay = new LinkedHashSet<>();
   private long nextExpireMicros;
+  /**
+   * Connections to workers that are kept for the next command, the one idle longest first. Each worker holds one to report
+   * on besides: with two a machine, 1,600 machines took all sockets on a calm day, and users found none.
+   */
+  private final Set<AskedConnection> idle = new LinkedHashSet<>();
+  private final int mostIdle;
 
+  /** @param mostIdle so many connections to workers may be kept without use */
   public Outbound(Sockets sockets, String stateAddress, String cloudAddress, Map<String, String> peerAddresses,
-      LongSupplier clock, BiConsumer<Long, Reply> replies) {
+      int mostIdle, LongSupplier clock, BiConsumer<Long, Reply> replies) {
+    this.mostIdle = mostIdle;
     this.sockets = sockets;
     this.state = stateAddress;
     this.cloud = cloudAddress;
@@ -201,6 +209,7 @@
       exchange = new Exchange(to, method, path, body, clock.getAsLong() + timeoutMicros, outcome);
       use = to.free.poll();
       if (use != null) {
+        idle.remove(use);
         exchange.connection = use;
       } else if (to.waiting.size() >= MOST_WAITING) {
         exchange.over = true;
@@ -280,18 +289,34 @@
     takeNext(connection);
   }
 
+  private boolean isWorker(String address) {
+    return !address.equals(state) && !address.equals(cloud) && !peers.containsValue(address);
+  }
+
   private void takeNext(AskedConnection connection) {
     Exchange next;
+    AskedConnection tooMany = null;
     synchronized (this) {
       next = connection.destination.waiting.poll();
       if (next == null) {
         connection.destination.free.addFirst(connection);
+        if (isWorker(connection.destination.address)) {
+          idle.add(connection);
+          tooMany = idle.size() > mostIdle ? idle.iterator().next() : null;
+          if (tooMany != null) {
+            // Not to be asked between here and its end.
+            idle.remove(tooMany);
+            tooMany.destination.free.remove(tooMany);
+          }
+        }
       } else {
         next.connection = connection;
       }
     }
     if (next != null) {
       ask(connection, next);
+    } else if (tooMany != null) {
+      tooMany.close();
     }
   }
 
@@ -316,6 +341,7 @@
     synchronized (this) {
       Destination to = connection.destination;
       to.free.remove(connection);
+      idle.remove(connection);
       to.connections--;
       ended = exchange != null && end(exchange);
       connect = wantsConnection(to);
--- a/src/main/java/org/eiderstair/node/Node.java
+++ b/src/main/java/org/eiderstair/node/Node.java
@@ -21,6 +21,8 @@
   /** Of the heap, for requests that are here: what is made of one takes several times its room. */
   private static final int HELD_PART = 16;
   private static final int KEPT_SOCKETS = 200;
+  /** Of all sockets, for connections to workers between two commands; workers' reports, users and the rest come first. */
+  private static final int IDLE_PART = 5;
 
   private final ExecutorService threads;
   private final Sockets sockets;
@@ -33,8 +35,9 @@
     LOG.info("node {} starts", config.settings().node());
     sockets = new Sockets(threads);
     Inbound inbound = new Inbound(loop::offer, (int) (Runtime.getRuntime().maxMemory() / HELD_PART));
+    int mostIdle = config.maxConnections() > 0 ? config.maxConnections() / IDLE_PART : Integer.MAX_VALUE;
     Outbound outbound = new Outbound(sockets, config.stateAddress(), config.cloudAddress(), config.peerAddresses(),
-        CoreLoop::nowMicros, (call, reply) -> loop.offer(new Event.Replied(call, reply)));
+        mostIdle, CoreLoop::nowMicros, (call, reply) -> loop.offer(new Event.Replied(call, reply)));
     // Runs of one node differ in their time or their process; nothing here needs to be hard to guess.
     long time = System.currentTimeMillis();
     long process = ProcessHandle.current().pid();
--- /dev/null
+++ b/src/test/java/org/eiderstair/core/CoreFailureTest.java
@@ -0,0 +1,76 @@
+package org.eiderstair.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Example;
+
+/** An event that throws half-way leaves a picture that nobody knows: a leader must not go on with it. */
+class CoreFailureTest {
+  private static final long SECOND = 1_000_000;
+  private final Settings settings = new Settings("n0", List.of("n1"), List.of("a"),
+      Map.of("red", new Settings.Team("red", 0, 0, 0, 0)), List.of(), 3 * SECOND, 20 * SECOND, 40 * SECOND, 100, 50, 16,
+      5, Settings.Tuning.defaults());
+  private final List<Effect> effects = new ArrayList<>();
+  private final Core core = new Core(settings, "run", 0, n -> 0, effects::add);
+  private long now = SECOND;
+
+  private <T extends Request> long taken(Class<T> kind) {
+    for (Effect e : effects) {
+      if (e instanceof Effect.Call call && kind.isInstance(call.request())) {
+        effects.remove(e);
+        return call.call();
+      }
+    }
+    throw new AssertionError("no " + kind.getSimpleName() + " in " + effects);
+  }
+
+  private void reply(Class<? extends Request> kind, Reply reply) {
+    core.handle(new Event.Replied(taken(kind), reply), now);
+  }
+
+  private void lead() {
+    core.handle(new Event.Tick(), now);
+    reply(Request.StoreList.class, new Reply.Listed(List.of(), false, 5));
+    core.handle(new Event.Tick(), now);
+    reply(Request.LeaseGrant.class, new Reply.LeaseGranted(7));
+    reply(Request.StoreTxn.class, new Reply.Applied(6));
+    reply(Request.StoreWatch.class, new Reply.Changed(List.of(), 6));
+    core.handle(new Event.Tick(), now);
+    assertTrue(core.leads());
+  }
+
+  /** A report without its tasks: nothing that the protocol lets through, so it stands for any fault of ours. */
+  private static Event broken(long exchange) {
+    return new Event.Reported(exchange, new MachineReport("m", "x", "t", "a", true, 1, 1, 0, -1, null), false);
+  }
+
+  @Example
+  void aLeaderLeavesOfficeAndStandsAgainOnlyAfterOthersCould() {
+    lead();
+    core.handle(broken(1), now);
+    assertFalse(core.leads());
+    taken(Request.LeaseDrop.class);
+    assertTrue(effects.stream().anyMatch(e -> e instanceof Effect.Log log && log.level() == Effect.Level.ERROR
+        && log.text().contains("Reported")));
+    reply(Request.StoreWatch.class, new Reply.Changed(List.of(new Reply.Item(Records.LEADER, null, 9)), 9));
+    now += 5 * SECOND;
+    core.handle(new Event.Tick(), now);
+    assertTrue(effects.stream().noneMatch(e -> e instanceof Effect.Call c && c.request() instanceof Request.LeaseGrant));
+    now += 15 * SECOND;
+    core.handle(new Event.Tick(), now);
+    taken(Request.LeaseGrant.class);
+  }
+
+  @Example
+  void aFollowerGoesOn() {
+    core.handle(new Event.Tick(), now);
+    core.handle(new Event.Submit(1, null, null, null), now);
+    core.handle(new Event.ReadyProbe(2), now);
+    assertEquals(1, effects.stream().filter(e -> e instanceof Effect.Respond r && r.exchange() == 2).count());
+  }
+}
--- /dev/null
+++ b/src/test/java/org/eiderstair/core/LedgerTest.java
@@ -0,0 +1,73 @@
+package org.eiderstair.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Example;
+
+/** In which order the leader's writes go, and what becomes of those that are written twice. */
+class LedgerTest {
+  private final LeaderBench bench = new LeaderBench();
+  private final List<String> finished = new ArrayList<>();
+  private final Ledger ledger = new Ledger(bench.settings, bench.ports, bench.replica, LeaderBench.TERM,
+      new Ledger.Listener() {
+        @Override
+        public void jobFinished(Job job) {
+          finished.add(job.id);
+        }
+
+        @Override
+        public void rosterWritten(String machine) { }
+      });
+  private long now = 1_000_000;
+
+  /** The next transaction, carried out. */
+  private List<Request.Write> next() {
+    bench.effects.clear();
+    now += 1_000_000;
+    ledger.tick(now);
+    Effect.Call call = (Effect.Call) bench.effects.get(0);
+    Request.StoreTxn txn = (Request.StoreTxn) call.request();
+    assertEquals(new Request.Condition(Records.LEADER, LeaderBench.TERM), txn.conditions().get(0));
+    bench.ports.replied(call.call(), new Reply.Applied(++bench.versions));
+    return txn.writes();
+  }
+
+  @Example
+  void hundredsOfNotesHoldUpNoCompletionAndWaitForNone() {
+    int[] durable = new int[1];
+    for (int i = 0; i < 300; i++) {
+      ledger.note(Records.DUTY + "rent/r-1-" + i, Map.of("n", 1L), () -> durable[0]++);
+    }
+    for (int i = 0; i < 3; i++) {
+      ledger.finished(bench.job("red", JobSpec.Priority.NORMAL, 1, 1));
+    }
+    List<Request.Write> first = next();
+    assertEquals(3, finished.size());
+    assertEquals(bench.settings.stateTxnOps() / 4, durable[0]);
+    assertTrue(first.size() <= bench.settings.stateTxnOps());
+  }
+
+  @Example
+  void theLatestValueCountsAndEveryoneIsTold() {
+    List<String> told = new ArrayList<>();
+    String key = Records.DUTY + "leave/1-1";
+    ledger.note(key, Map.of("v", 1L), () -> told.add("first"));
+    ledger.note(key, Map.of("v", 2L), () -> told.add("second"));
+    assertEquals(Map.of("v", 2L), next().get(0).value());
+    assertEquals(List.of("first", "second"), told);
+    // One that comes while another value is on its way waits for its own.
+    ledger.note(key, Map.of("v", 3L), () -> told.add("third"));
+    bench.effects.clear();
+    now += 1_000_000;
+    ledger.tick(now);
+    ledger.note(key, null, () -> told.add("dropped"));
+    bench.ports.replied(((Effect.Call) bench.effects.get(0)).call(), new Reply.Applied(++bench.versions));
+    assertEquals(List.of("first", "second", "third"), told);
+    assertEquals(null, next().get(0).value());
+    assertEquals(List.of("first", "second", "third", "dropped"), told);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/eiderstair/core/duty/DutiesTest.java
@@ -0,0 +1,342 @@
+package org.eiderstair.core.duty;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.core.source64.XoRoShiRo128PlusPlus;
+
+/** Holders replaced in the middle of everything, requests and answers that come minutes late: nothing twice, nothing lost. */
+class DutiesTest {
+  private static final Offer OFFER = new Offer("t", "a", true);
+  private static final long SECOND = 1_000_000;
+
+  /** A state service that refuses writes of older epochs, a cloud, and messages that arrive when the test says. */
+  private static final class World {
+    final TreeMap<String, Map<String, Object>> store = new TreeMap<>();
+    final Set<String> everMarked = new HashSet<>();
+    final Map<String, List<String>> charters = new LinkedHashMap<>();
+    final Set<String> running = new HashSet<>();
+    final Set<String> roster = new HashSet<>();
+    /** By machine, the latest epoch that placed something on it. */
+    final Map<String, Long> usedIn = new HashMap<>();
+    final List<Runnable> onTheWay = new ArrayList<>();
+    final List<String> broken = new ArrayList<>();
+    int decided;
+    long epoch;
+    long now;
+
+    void deliver(int index) {
+      onTheWay.remove(index).run();
+    }
+
+    void deliverAll() {
+      while (!onTheWay.isEmpty()) {
+        deliver(0);
+      }
+    }
+  }
+
+  /** One holder; it may go on after it was replaced, which it then does not know. */
+  private static final class Holder implements Duties.Host {
+    final World world;
+    final long epoch;
+    final Duties duties;
+    final Set<String> booting = new HashSet<>();
+    final Set<String> gone = new HashSet<>();
+    final List<String> errors = new ArrayList<>();
+    final ArrayDeque<Runnable> writes = new ArrayDeque<>();
+    boolean refusedByCloud;
+
+    Holder(World world) {
+      this.world = world;
+      this.epoch = world.epoch += 10;
+      this.duties = new Duties(this, epoch, 30 * SECOND, 0);
+      duties.resume(new TreeMap<>(world.store), world.now);
+    }
+
+    /** Writes of one holder are carried out in their order, as the ledger does. */
+    private void write(String key, Map<String, Object> value, Runnable durable) {
+      writes.add(() -> {
+        // Conditioned on the leader key: a replaced holder's write fails, and it hears nothing.
+        if (epoch == world.epoch) {
+          if (value == null) {
+            world.store.remove(key);
+          } else {
+            world.store.put(key, value);
+            if (key.startsWith(Duties.RETURNS)) {
+              ((List<?>) value.get("ids")).forEach(id -> world.everMarked.add((String) id));
+            }
+          }
+          world.onTheWay.add(durable);
+        }
+      });
+      world.onTheWay.add(() -> writes.remove().run());
+    }
+
+    @Override
+    public void put(String key, Map<String, Object> value, Runnable durable) {
+      write(key, value, durable);
+    }
+
+    @Override
+    public void drop(String key, Runnable durable) {
+      write(key, null, durable);
+    }
+
+    @Override
+    public boolean mayCall() {
+      return true;
+    }
+
+    @Override
+    public void rent(String charter, Offer offer, int count, Consumer<Duties.Rental> then) {
+      world.onTheWay.add(() -> {
+        if (!world.store.containsKey(Duties.RENTALS + charter) && !world.charters.containsKey(charter)) {
+          world.broken.add("asked for " + charter + " before it was durable");
+        }
+        List<String> names = world.charters.computeIfAbsent(charter, c -> {
+          List<String> made = new ArrayList<>();
+          for (int i = 0; i < count; i++) {
+            made.add(c + "/" + i);
+          }
+          world.running.addAll(made);
+          return made;
+        });
+        world.onTheWay.add(() -> then.accept(new Duties.Rental(Duties.Rental.Outcome.GRANTED, names, "")));
+      });
+    }
+
+    @Override
+    public void delete(List<String> machines, Consumer<Duties.Deletion> then) {
+      if (refusedByCloud) {
+        world.onTheWay.add(() -> then.accept(Duties.Deletion.REFUSED));
+        return;
+      }
+      world.onTheWay.add(() -> {
+        for (String machine : machines) {
+          if (!world.everMarked.contains(machine)) {
+            world.broken.add(machine + " deleted without a mark");
+          }
+          if (world.running.remove(machine) && world.usedIn.getOrDefault(machine, 0L) > epoch) {
+            world.broken.add(machine + " deleted by epoch " + epoch + " while in use by a later one");
+          }
+        }
+        world.onTheWay.add(() -> then.accept(Duties.Deletion.DONE));
+      });
+    }
+
+    @Override
+    public void booting(String charter, Offer offer, List<String> machines, long ageMicros) {
+      booting.addAll(machines);
+    }
+
+    @Override
+    public void shortOf(Offer offer, String why) { }
+
+    @Override
+    public void gone(String machine) {
+      gone.add(machine);
+      world.roster.remove(machine);
+    }
+
+    @Override
+    public void kept(String machine) {
+      // It reports, and is found by that.
+      booting.add(machine);
+    }
+
+    @Override
+    public boolean isGone(String machine) {
+      return gone.contains(machine);
+    }
+
+    @Override
+    public boolean onRoster(String machine) {
+      return world.roster.contains(machine);
+    }
+
+    @Override
+    public void info(String text) { }
+
+    @Override
+    public void error(String text) {
+      errors.add(text);
+    }
+  }
+
+  @Property(tries = 400, seed = "31")
+  void whoeverHoldsAndHoweverLate(@ForAll long seed) {
+    UniformRandomProvider random = new XoRoShiRo128PlusPlus(seed, 17);
+    World world = new World();
+    List<Holder> holders = new ArrayList<>(List.of(new Holder(world)));
+    for (int step = 0; step < 150; step++) {
+      world.now += random.nextInt(400_000);
+      // A replaced holder goes on until it hears of it; its clock and its duties run.
+      Holder h = holders.get(random.nextInt(holders.size()));
+      Holder latest = holders.get(holders.size() - 1);
+      switch (random.nextInt(8)) {
+        case 0 -> {
+          if (world.decided < 12) {
+            world.decided++;
+            h.duties.rent(OFFER, 1 + random.nextInt(3));
+          }
+        }
+        case 1 -> {
+          List<String> running = new ArrayList<>(world.running);
+          if (!running.isEmpty()) {
+            h.duties.giveBack(running.get(random.nextInt(running.size())));
+          }
+        }
+        case 2 -> {
+          for (String machine : world.running) {
+            if (latest.booting.contains(machine) && !latest.duties.leaving(machine)) {
+              world.usedIn.put(machine, latest.epoch);
+            }
+          }
+        }
+        case 3 -> {
+          for (String machine : List.copyOf(world.running)) {
+            if (latest.booting.contains(machine) && world.roster.add(machine)) {
+              latest.duties.accounted(machine);
+              break;
+            }
+          }
+        }
+        case 4 -> {
+          List<String> running = new ArrayList<>(world.running);
+          if (!running.isEmpty()) {
+            h.duties.takeBack(running.get(random.nextInt(running.size())));
+          }
+        }
+        case 5 -> {
+          if (random.nextInt(6) == 0 && holders.size() < 5) {
+            holders.add(new Holder(world));
+          }
+        }
+        default -> {
+          if (!world.onTheWay.isEmpty()) {
+            world.deliver(random.nextInt(world.onTheWay.size()));
+          }
+        }
+      }
+      h.refusedByCloud = random.nextInt(10) == 0;
+      h.duties.tick(world.now);
+      latest.duties.tick(world.now);
+    }
+    assertEquals(List.of(), world.broken);
+    // All that was ever written is settled by the last holder, and it knows every machine.
+    Holder last = holders.get(holders.size() - 1);
+    last.refusedByCloud = false;
+    for (int i = 0; i < 400; i++) {
+      world.now += SECOND / 2;
+      holders.forEach(x -> x.duties.tick(world.now));
+      world.deliverAll();
+      // Deleted by a holder that was replaced, and not known to be gone: it never comes up, and is given back.
+      last.booting.stream().filter(m -> !world.running.contains(m) && !last.gone.contains(m))
+          .forEach(last.duties::giveBack);
+      for (String machine : List.copyOf(world.running)) {
+        if (last.booting.contains(machine) && world.roster.add(machine)) {
+          last.duties.accounted(machine);
+        }
+      }
+    }
+    assertEquals(List.of(), world.broken);
+    assertTrue(world.store.isEmpty(), "left over: " + world.store);
+    assertEquals(0, last.duties.awaited());
+  }
+
+  @Example
+  void theSameRentalAskedForByTwoIsOne() {
+    World world = new World();
+    Holder first = new Holder(world);
+    first.duties.rent(OFFER, 3);
+    world.deliver(0);
+    world.deliver(0);
+    first.duties.tick(SECOND);
+    // The request of the first is on its way when the second takes over.
+    Holder second = new Holder(world);
+    second.duties.tick(2 * SECOND);
+    world.deliverAll();
+    assertEquals(1, world.charters.size());
+    assertEquals(3, second.booting.size());
+    assertEquals(3, world.running.size());
+  }
+
+  @Example
+  void aMarkedMachineIsLeftAloneByTheNextAndADeletionMinutesLateHitsNothing() {
+    World world = new World();
+    Holder first = new Holder(world);
+    world.running.add("m");
+    first.duties.giveBack("m");
+    first.duties.tick(SECOND);
+    world.deliver(0);
+    world.deliver(0);
+    // It stands still between the mark and the request, is replaced, and goes on.
+    Holder second = new Holder(world);
+    assertTrue(second.duties.leaving("m"), "nothing is placed on it");
+    first.duties.tick(200 * SECOND);
+    second.duties.tick(200 * SECOND);
+    world.deliverAll();
+    assertEquals(List.of(), world.broken);
+    assertFalse(world.running.contains("m"));
+    assertTrue(second.gone.contains("m"));
+  }
+
+  @Example
+  void aMachineIsTakenBackOnlyWhileNoRequestForItMayArrive() {
+    World world = new World();
+    Holder holder = new Holder(world);
+    world.running.add("m");
+    holder.duties.giveBack("m");
+    assertTrue(holder.duties.takeBack("m"), "not written yet");
+    holder.duties.giveBack("m");
+    holder.refusedByCloud = true;
+    holder.duties.tick(SECOND);
+    world.deliverAll();
+    holder.duties.tick(2 * SECOND);
+    assertFalse(holder.duties.takeBack("m"), "a request is on its way");
+    world.deliverAll();
+    assertTrue(holder.duties.takeBack("m"), "refused for certain");
+    assertTrue(holder.duties.leaving("m"), "not before that is durable");
+    world.deliverAll();
+    assertFalse(holder.duties.leaving("m"));
+    holder.duties.giveBack("m");
+    holder.refusedByCloud = false;
+    holder.duties.tick(4 * SECOND);
+    world.deliverAll();
+    assertTrue(new Holder(world).duties.leaving("m"));
+    assertFalse(new Holder(world).duties.takeBack("m"), "what an earlier epoch sent is not known");
+  }
+
+  @Example
+  void whatCannotBeReadIsNamedAndStopsNothing() {
+    World world = new World();
+    world.store.put(Duties.RENTALS + "r-1-1", Map.of("type", "t", "zone", 7L, "n", 3L, "epoch", 1L, "at", 0L));
+    world.store.put(Duties.RENTALS + "r-1-2", Map.of("type", "t", "zone", "a", "n", 0L, "epoch", 1L, "at", 0L));
+    world.store.put(Duties.RETURNS + "1-3", Map.of("epoch", 1L, "ids", "m"));
+    world.store.put(Duties.RENTALS + "r-1-4",
+        Map.of("type", "t", "zone", "a", "n", 2L, "epoch", 1L, "at", 0L, "later", true));
+    Holder holder = new Holder(world);
+    assertEquals(3, holder.errors.size());
+    assertTrue(holder.errors.get(0).contains(Duties.RETURNS + "1-3") && holder.errors.get(0).contains("ids"));
+    assertTrue(holder.errors.get(1).contains("r-1-1") && holder.errors.get(1).contains("zone"));
+    holder.duties.tick(SECOND);
+    world.deliverAll();
+    assertEquals(2, holder.booting.size());
+  }
+}
--- /dev/null
+++ b/src/test/java/org/eiderstair/core/member/MembershipTest.java
@@ -0,0 +1,172 @@
+package org.eiderstair.core.member;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.core.source64.XoRoShiRo128PlusPlus;
+
+/** Who hears which machine, told between controllers as changes; and what silence means when many are silent. */
+class MembershipTest {
+  private static final long SECOND = 1_000_000;
+  private static final long REPORT = 5 * SECOND;
+  private static final long PATIENCE = 10 * SECOND;
+
+  private record Asked(String peer, String run, long after, Consumer<Membership.Answer> then) {}
+
+  private record Known(String machine, String zone, long lastHeardMicros, boolean holdsBack) implements Survey.Member {}
+
+  private final List<Asked> asked = new ArrayList<>();
+  private final List<String> logs = new ArrayList<>();
+  private final Membership leader = node("n0", "run");
+
+  private Membership node(String name, String run) {
+    return new Membership(name, List.of("n1", "n2"), Map.of("n0", "a", "n1", "b", "n2", "c"), run, REPORT,
+        (peer, of, after, then) -> asked.add(new Asked(peer, of, after, then)), logs::add);
+  }
+
+  private static List<Known> machines(int count, String zone, long heardMicros) {
+    List<Known> all = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      all.add(new Known(zone + i, zone, heardMicros, false));
+    }
+    return all;
+  }
+
+  private void answer(Membership peer, String name, long nowMicros) {
+    for (Asked a : List.copyOf(asked)) {
+      if (a.peer().equals(name)) {
+        asked.remove(a);
+        a.then().accept(new Membership.Answer(peer.tell(a.run(), a.after(), nowMicros)));
+      }
+    }
+  }
+
+  /** Whatever is heard, lost, restarted or paged: once told, the leader's picture is what the peer hears. */
+  @Property(tries = 100, seed = "5")
+  void changesAddUp(@ForAll long seed) {
+    UniformRandomProvider random = new XoRoShiRo128PlusPlus(seed, 3);
+    Membership peer = node("n1", "p0");
+    Set<String> heard = new HashSet<>();
+    long now = SECOND;
+    for (int step = 0; step < 60; step++) {
+      now += random.nextInt(3_000_000);
+      int count = random.nextInt(30) == 0 ? 1500 : random.nextInt(20);
+      for (int i = 0; i < count; i++) {
+        peer.heard("m" + random.nextInt(count + 10), now);
+      }
+      if (random.nextInt(15) == 0) {
+        peer = node("n1", "p" + step);
+      }
+      leader.tick(true, now);
+      if (random.nextInt(4) == 0) {
+        // No answer came.
+        asked.stream().filter(a -> a.peer().equals("n1")).toList().forEach(a -> a.then().accept(null));
+        asked.removeIf(a -> a.peer().equals("n1"));
+      } else {
+        answer(peer, "n1", now);
+      }
+    }
+    for (int i = 0; i < 10; i++) {
+      now += SECOND;
+      leader.tick(true, now);
+      answer(peer, "n1", now);
+    }
+    Hearing all = peer.tell("", 0, now);
+    assertTrue(all.whole());
+    heard.clear();
+    for (Hearing h = all; ; h = peer.tell(h.run(), h.last(), now)) {
+      h.changes().stream().filter(Hearing.Change::heard).forEach(c -> heard.add(c.machine()));
+      if (!h.more()) {
+        break;
+      }
+    }
+    for (String machine : heard) {
+      assertTrue(leader.heardElsewhere(machine), machine);
+    }
+    assertEquals(heard.size(), leader.heardElsewhere(m -> true));
+  }
+
+  /** 1,600 machines that go on reporting here are told once; after that an answer is empty. */
+  @Example
+  void whatDoesNotChangeIsNotToldAgain() {
+    Membership peer = node("n1", "p");
+    for (int i = 0; i < 1600; i++) {
+      peer.heard("m" + i, SECOND);
+    }
+    long told = 0;
+    Hearing h = peer.tell("", 0, SECOND);
+    for (; h.more(); h = peer.tell(h.run(), h.last(), SECOND)) {
+      told += h.changes().size();
+      assertTrue(h.changes().size() <= 400);
+    }
+    assertEquals(1600, told + h.changes().size());
+    for (int i = 0; i < 1600; i++) {
+      peer.heard("m" + i, 4 * SECOND);
+    }
+    assertEquals(0, peer.tell("p", h.last(), 5 * SECOND).changes().size());
+    assertEquals(1600, peer.tell("another run", h.last(), 30 * SECOND).last() - h.last(), "all have gone quiet");
+  }
+
+  @Example
+  void aMachineThatAPeerHearsIsNotSilent() {
+    Membership peer = node("n1", "p");
+    peer.heard("b1", 19 * SECOND);
+    leader.tick(true, 20 * SECOND);
+    answer(peer, "n1", 20 * SECOND);
+    List<Known> all = machines(2, "b", 9 * SECOND);
+    all.addAll(machines(20, "a", 20 * SECOND));
+    Survey survey = leader.survey(all, PATIENCE, PATIENCE, 21 * SECOND);
+    assertEquals(Survey.Verdict.ELSEWHERE, survey.of(all.get(1)));
+    assertEquals(Survey.Verdict.SILENT, survey.of(all.get(0)));
+    // What it told is believed no longer than it goes on telling.
+    leader.tick(false, 40 * SECOND);
+    assertEquals(Survey.Verdict.SILENT, leader.survey(all, PATIENCE, PATIENCE, 40 * SECOND).of(all.get(1)));
+  }
+
+  @Example
+  void whenMostAreSilentTheFaultIsLikelyOurs() {
+    List<Known> all = machines(8, "a", 9 * SECOND);
+    all.addAll(machines(5, "b", 20 * SECOND));
+    leader.tick(true, 18 * SECOND);
+    Known one = all.get(0);
+    assertEquals(Survey.Verdict.CUT_OFF, leader.survey(all, PATIENCE, PATIENCE, 21 * SECOND).of(one));
+    assertEquals(Survey.Verdict.SILENT, leader.survey(all, PATIENCE, PATIENCE, 40 * SECOND).of(one));
+  }
+
+  @Example
+  void aZoneThatNobodySeesIsToldFromOneWhoseMachinesDied() {
+    List<Known> all = machines(8, "b", 9 * SECOND);
+    all.addAll(machines(20, "a", 20 * SECOND));
+    leader.tick(true, 18 * SECOND);
+    Known one = all.get(0);
+    assertEquals(Survey.Verdict.DARK, leader.survey(all, PATIENCE, 60 * SECOND, 21 * SECOND).of(one));
+    assertTrue(leader.isDark("b"));
+    assertEquals(1, logs.size());
+    // Its controller answers: the zone is not cut off, so its machines are dead.
+    answer(node("n1", "p"), "n1", 22 * SECOND);
+    assertFalse(leader.isDark("b"));
+    assertEquals(Survey.Verdict.SILENT, leader.survey(all, PATIENCE, 60 * SECOND, 22 * SECOND).of(one));
+  }
+
+  @Example
+  void aPeerOfTheVersionBeforeIsNotWaitedFor() {
+    List<Known> all = machines(1, "b", 9 * SECOND);
+    all.addAll(machines(20, "a", 20 * SECOND));
+    leader.tick(true, 19 * SECOND);
+    Survey asking = leader.survey(all, PATIENCE, PATIENCE, 19 * SECOND + 100_000);
+    assertEquals(Survey.Verdict.DOUBTED, asking.of(all.get(0)));
+    asked.forEach(a -> a.then().accept(new Membership.Answer(null)));
+    assertEquals(Survey.Verdict.SILENT, leader.survey(all, PATIENCE, PATIENCE, 19 * SECOND + 200_000).of(all.get(0)));
+  }
+}
--- /dev/null
+++ b/src/test/java/org/eiderstair/http/OutboundTest.java
@@ -0,0 +1,85 @@
+package org.eiderstair.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import net.jqwik.api.Example;
+import org.eiderstair.core.Reply;
+import org.eiderstair.core.Request;
+
+/** Connections to workers between two commands are bounded, however many machines there are. */
+class OutboundTest {
+  private static final int WORKERS = 60;
+  private static final int MOST_IDLE = 10;
+
+  @Example
+  void idleConnectionsAreBoundedAndNothingIsLost() throws Exception {
+    ExecutorService threads = Executors.newCachedThreadPool();
+    AtomicInteger open = new AtomicInteger();
+    Map<Long, Reply> replies = new ConcurrentHashMap<>();
+    try (ServerSocket server = new ServerSocket(0, 200, InetAddress.getByName("0.0.0.0"))) {
+      threads.execute(() -> serve(server, threads, open));
+      Sockets sockets = new Sockets(threads);
+      CountDownLatch[] round = {new CountDownLatch(WORKERS)};
+      Outbound outbound = new Outbound(sockets, "127.0.0.1:1", "127.0.0.1:2", Map.of(), MOST_IDLE,
+          () -> System.nanoTime() / 1000, (call, reply) -> {
+            replies.put(call, reply);
+            round[0].countDown();
+          });
+      long call = 0;
+      for (int times = 0; times < 3; times++) {
+        round[0] = new CountDownLatch(WORKERS);
+        for (int i = 0; i < WORKERS; i++) {
+          outbound.send(++call, new Request.WorkerCommands("127.0.0." + (2 + i) + ":" + server.getLocalPort(), 1, 1,
+              List.of()));
+        }
+        assertTrue(round[0].await(20, TimeUnit.SECONDS));
+      }
+      assertEquals(3 * WORKERS, replies.size());
+      replies.values().forEach(r -> assertEquals(new Reply.Refused(400), r));
+      for (int i = 0; i < 400 && open.get() > MOST_IDLE; i++) {
+        Thread.sleep(10);
+      }
+      assertTrue(open.get() <= MOST_IDLE, "open " + open.get());
+      sockets.stop();
+    } finally {
+      threads.shutdownNow();
+    }
+  }
+
+  /** Answers every request alike. */
+  private static void serve(ServerSocket server, ExecutorService threads, AtomicInteger open) {
+    while (!server.isClosed()) {
+      try {
+        Socket socket = server.accept();
+        open.incrementAndGet();
+        threads.execute(() -> {
+          try (socket; InputStream in = socket.getInputStream()) {
+            byte[] buffer = new byte[4096];
+            while (in.read(buffer) > 0) {
+              socket.getOutputStream().write("HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n".getBytes());
+            }
+          } catch (Exception ended) {
+            // The other side closed it.
+          } finally {
+            open.decrementAndGet();
+          }
+        });
+      } catch (Exception closed) {
+        return;
+      }
+    }
+  }
+}
--- a/src/test/java/org/eiderstair/protocol/PeerMessagesTest.java
+++ b/src/test/java/org/eiderstair/protocol/PeerMessagesTest.java
@@ -7,9 +7,11 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.eiderstair.core.Answer;
+import org.eiderstair.core.Event;
 import org.eiderstair.core.MachineReport;
 import org.eiderstair.core.Order;
 import org.eiderstair.core.TaskId;
+import org.eiderstair.core.member.Hearing;
 import org.eiderstair.peer.PeerMessages;
 
 class PeerMessagesTest {
@@ -32,6 +34,14 @@
     }
   }
 
+  @Property(tries = 100, seed = "6")
+  void whatIsHeardReadsBackAsWritten(@ForAll String run, @ForAll long after, @ForAll boolean whole) throws Malformed {
+    Hearing hearing = new Hearing(run, whole, after, !whole,
+        List.of(new Hearing.Change("i-000001", whole, after), new Hearing.Change("", !whole, 0)));
+    assertEquals(hearing, PeerMessages.heard(PeerMessages.heard(hearing)).hearing());
+    assertEquals(new Event.PeerHeardAsked(9, run, after), PeerMessages.heardAsked(9, PeerMessages.heardAsk(run, after)));
+  }
+
   @Property(tries = 500, seed = "5")
   void anyBytesAreReadOrRefused(@ForAll byte[] bytes) {
     try {
@@ -39,5 +49,15 @@
     } catch (Malformed expected) {
       // Nothing else may come out of here, whatever arrives.
     }
+    try {
+      PeerMessages.heardAsked(1, bytes);
+    } catch (Malformed expected) {
+      // Nor here.
+    }
+    try {
+      PeerMessages.heard(bytes);
+    } catch (Malformed expected) {
+      // Nothing else may come out of here, whatever arrives.
+    }
   }
 }
--- a/src/test/java/org/eiderstair/sim/Day.java
+++ b/src/test/java/org/eiderstair/sim/Day.java
@@ -1,6 +1,7 @@
 package org.eiderstair.sim;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -35,6 +36,11 @@
     static final Size SMALL = new Size(3, 10, 8, 24, 25, 12);
     /** About the size of the users' grown deployments, with five controllers. */
     static final Size GROWN = new Size(5, 300, 240, 900, 160, 60);
+
+    /** Half as many again as the users' largest deployments have. */
+    static Size fleet(int nodes) {
+      return new Size(nodes, 1600, 2000, 6400, 600, 240);
+    }
   }
 
   /** Prints what the controllers decide, to follow one seed: -Dsim.log=true. */
@@ -50,12 +56,21 @@
   private final Map<String, Worker> workers = new LinkedHashMap<>();
   private final Map<String, List<String>> charters = new HashMap<>();
   private final Map<String, Long> rentedAt = new HashMap<>();
+  private final Map<String, Request.CloudRent> kinds = new HashMap<>();
+  private final List<List<Reply.CloudMachine>> lists = new ArrayList<>();
+  /** Given back for their silence; those of them that were alive. */
+  private final Set<String> condemned = new HashSet<>();
+  int deletedAlive;
+  /** The least share of any class or team, of what came two minutes before. */
+  double servedInTime;
+  int rented;
   private int machines;
   private boolean cloudDown;
   /** Swapped in by a test that shows that a broken controller is caught. */
   private final Consumer<Sabotage> sabotage;
 
   private final Map<String, JobSpec> submitted = new LinkedHashMap<>();
+  private final Map<String, Long> submittedAt = new HashMap<>();
   private final Set<String> accepted = new HashSet<>();
   private final Map<String, Answer.Phase> told = new HashMap<>();
   private final Map<String, Long> cancelledAt = new HashMap<>();
@@ -64,6 +79,8 @@
   private final Set<TaskId> completed = new HashSet<>();
   private final Map<String, Double> teamUse = new HashMap<>();
   int started;
+  /** Told of all that controllers log. */
+  Consumer<String> logs = text -> { };
 
   /** What a broken controller would do with a request before it is carried out. */
   static final class Sabotage {
@@ -140,6 +157,10 @@
     private void effect(Effect effect, int thisRun) {
       if (effect instanceof Effect.Log log) {
         note(name() + " " + log.text());
+        if (log.text().contains(": silent: ")) {
+          condemned.add(log.text().split("[ :]")[2]);
+        }
+        logs.accept(log.text());
       }
       if (clock.now() < stalledUntilMicros) {
         clock.after(stalledUntilMicros - clock.now(), () -> {
@@ -185,12 +206,14 @@
     this.size = size;
     this.nodes = new Node[size.nodes()];
     this.random = new Random(seed);
-    this.net = new Net(clock, random);
+    this.net = new Net(clock, random, this::zoneOf);
     this.sabotage = sabotage;
     for (int i = 0; i < nodes.length; i++) {
       nodes[i] = new Node(i);
       nodes[i].start();
     }
+    lists.add(List.of());
+    snapshot();
     sweepRules();
   }
 
@@ -198,8 +221,21 @@
     Map<String, Settings.Team> teams = new LinkedHashMap<>();
     teams.put("red", new Settings.Team("red", size.guarantee(), size.limit(), 0, 0));
     teams.put("blue", new Settings.Team("blue", size.guarantee(), size.limit(), 0, 0));
+    Map<String, String> nodeZones = new LinkedHashMap<>();
+    for (int i = 0; i < nodes.length; i++) {
+      nodeZones.put("n" + i, zoneOf("n" + i));
+    }
     return new Settings(node, peers, ZONES, teams, List.of(), 3_000_000, 15_000_000, 32_000_000,
-        200, 80, 12, 8, Settings.Tuning.defaults());
+        200, 80, 12, 8, Settings.Tuning.defaults(), nodeZones);
+  }
+
+  /** Nodes are spread over the zones; the state service and the cloud are in none. */
+  private String zoneOf(String host) {
+    if (host.startsWith("n")) {
+      return ZONES.get(indexOf(host) % ZONES.size());
+    }
+    Worker w = workers.get(host);
+    return w == null ? null : w.zone;
   }
 
   long leaseMicros() {
@@ -254,14 +290,15 @@
       });
     } else if (request instanceof Request.CloudRent || request instanceof Request.CloudDelete
         || request instanceof Request.CloudList || request instanceof Request.CloudCatalog) {
-      net.send(from.name(), "cloud", () -> cloud(request, r -> net.send("cloud", from.name(), () -> reply.accept(r))));
+      Map<String, Long> marks = marksOf(request);
+      net.send(from.name(), "cloud", () -> cloud(request, marks, r -> net.send("cloud", from.name(), () -> reply.accept(r))));
     } else {
       net.send(from.name(), "state",
           () -> state.serve(from.name(), request, r -> net.send("state", from.name(), () -> reply.accept(r))));
     }
   }
 
-  private void cloud(Request request, Consumer<Reply> reply) {
+  private void cloud(Request request, Map<String, Long> marks, Consumer<Reply> reply) {
     if (cloudDown) {
       reply.accept(new Reply.Refused(503));
     } else if (request instanceof Request.CloudCatalog) {
@@ -272,17 +309,62 @@
       for (String id : delete.machines()) {
         Worker w = workers.remove(id);
         if (w != null) {
+          if (!w.dead && w.usedAfter(marks.getOrDefault(id, 0L))) {
+            breaks("late_delete: " + id + " is in use, marked in term " + marks.get(id));
+          }
+          deletedAlive += w.dead || !condemned.contains(id) ? 0 : 1;
           w.die();
         }
         rentedAt.remove(id);
       }
       reply.accept(new Reply.Applied(0));
     } else {
-      List<Reply.CloudMachine> list = new ArrayList<>();
-      workers.values().forEach(w -> list.add(new Reply.CloudMachine(w.id, w.id, w.type, w.zone, w.spot, "running",
-          clock.now() - rentedAt.getOrDefault(w.id, 0L))));
-      reply.accept(new Reply.CloudMachines(list, false));
+      // Old by a few seconds, and by another few now and then: machines that are gone still appear.
+      reply.accept(new Reply.CloudMachines(lists.get(Math.max(0, lists.size() - 1 - 3 - random.nextInt(4))), false));
+    }
+  }
+
+  /** What the cloud would list now, kept for a while. */
+  private void snapshot() {
+    clock.after(1_000_000, this::snapshot);
+    List<Reply.CloudMachine> list = new ArrayList<>();
+    rentedAt.forEach((id, at) -> {
+      Worker w = workers.get(id);
+      Request.CloudRent kind = kinds.get(id);
+      boolean failed = w != null && w.dead && clock.now() > w.diedMicros + 30_000_000;
+      list.add(new Reply.CloudMachine(id, id, kind.type(), kind.zone(), kind.spot(),
+          failed ? "failed" : w == null ? "booting" : "running", clock.now() - at));
+    });
+    list.sort(Comparator.comparing(Reply.CloudMachine::id));
+    lists.add(list);
+    if (lists.size() > 20) {
+      lists.remove(0);
+    }
+  }
+
+  /**
+   * Renting and returning must be durable before the cloud is asked, by whoever asks and however late. Says in which term
+   * each machine that is to be deleted was marked last.
+   */
+  private Map<String, Long> marksOf(Request request) {
+    Map<String, Long> marks = new HashMap<>();
+    if (request instanceof Request.CloudRent rent) {
+      if (!state.ever.containsKey("e/duty/rent/" + rent.request())) {
+        breaks("unwritten: " + rent.request());
+      }
+    } else if (request instanceof Request.CloudDelete delete) {
+      state.ever.forEach((key, value) -> {
+        if (key.startsWith("e/duty/leave/")) {
+          ((List<?>) value.get("ids")).forEach(id -> marks.merge((String) id, (Long) value.get("epoch"), Math::max));
+        }
+      });
+      for (String id : delete.machines()) {
+        if (!marks.containsKey(id)) {
+          breaks("unwritten: " + id + " is given back without a mark");
+        }
+      }
     }
+    return marks;
   }
 
   private List<String> rent(Request.CloudRent rent) {
@@ -291,6 +373,8 @@
       String id = String.format("i-%06d", ++machines);
       ids.add(id);
       rentedAt.put(id, clock.now());
+      kinds.put(id, rent);
+      rented++;
       clock.after(4_000_000 + random.nextInt(8_000_000), () -> {
         if (rentedAt.containsKey(id)) {
           workers.put(id, new Worker(this, id, rent.type(), rent.zone(), rent.spot()));
@@ -318,6 +402,7 @@
 
   void submit(JobSpec spec) {
     submitted.put(spec.id(), spec);
+    submittedAt.put(spec.id(), clock.now());
     trySubmit(spec, 0);
   }
 
@@ -548,6 +633,55 @@
     }
   }
 
+  void cutNodeFromCloud(int node, long micros) {
+    net.cut("n" + node, "cloud", micros);
+  }
+
+  void cutZone(int zone, long micros) {
+    net.cutZone(ZONES.get(zone), micros);
+  }
+
+  /** So many machines in a hundred stop with all that is on them. */
+  void killMachines(int percent) {
+    for (Worker w : new ArrayList<>(workers.values())) {
+      if (!w.dead && random.nextInt(100) < percent) {
+        w.die();
+      }
+    }
+  }
+
+  int machines() {
+    return workers.size();
+  }
+
+  int rentedIn(String zone) {
+    return (int) kinds.values().stream().filter(k -> k.zone().equals(zone)).count();
+  }
+
+  int alive() {
+    return (int) workers.values().stream().filter(w -> !w.dead).count();
+  }
+
+  /** The least share of tasks done, over classes and teams, of array jobs that came before a time. */
+  double leastServed(long beforeMicros) {
+    Map<String, int[]> shares = new LinkedHashMap<>();
+    for (String id : accepted) {
+      JobSpec spec = submitted.get(id);
+      if (spec.shape() != JobSpec.Shape.ARRAY || mistaken(id) || askedToCancel.contains(id)
+          || submittedAt.get(id) > beforeMicros) {
+        continue;
+      }
+      for (String group : List.of("class " + spec.jobClass(), "team " + spec.team())) {
+        int[] share = shares.computeIfAbsent(group, g -> new int[2]);
+        share[1] += spec.tasks();
+        for (int i = 0; i < spec.tasks(); i++) {
+          share[0] += completed.contains(new TaskId(id, i)) ? 1 : 0;
+        }
+      }
+    }
+    return shares.values().stream().mapToDouble(s -> (double) s[0] / s[1]).min().orElse(1);
+  }
+
   Worker anyWorker() {
     List<Worker> all = new ArrayList<>(workers.values());
     return all.isEmpty() ? null : all.get(random.nextInt(all.size()));
--- a/src/test/java/org/eiderstair/sim/Net.java
+++ b/src/test/java/org/eiderstair/sim/Net.java
@@ -4,15 +4,21 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Random;
+import java.util.function.UnaryOperator;
 
 /** A network whose cuts hold packets and deliver them, possibly much later, when they heal. */
 final class Net {
   private final Clock clock;
   private final Random random;
   private final Map<String, List<Runnable>> cuts = new HashMap<>();
+  private final UnaryOperator<String> zoneOf;
+  private final Map<String, List<Runnable>> cutZones = new HashMap<>();
 
-  Net(Clock clock, Random random) {
+  /** @param zoneOf the zone of a host, null for one that is in none */
+  Net(Clock clock, Random random, UnaryOperator<String> zoneOf) {
+    this.zoneOf = zoneOf;
     this.clock = clock;
     this.random = random;
   }
@@ -27,9 +33,28 @@
     }
   }
 
+  /** A zone goes on inside; nothing comes in or out. */
+  void cutZone(String zone, long forMicros) {
+    if (cutZones.putIfAbsent(zone, new ArrayList<>()) == null) {
+      clock.after(forMicros, () -> cutZones.remove(zone).forEach(r -> clock.after(delay(), r)));
+    }
+  }
+
+  private List<Runnable> held(String from, String to) {
+    List<Runnable> held = cuts.get(pair(from, to));
+    if (held == null && !cutZones.isEmpty()) {
+      String a = zoneOf.apply(from);
+      String b = zoneOf.apply(to);
+      if (!Objects.equals(a, b)) {
+        held = cutZones.containsKey(a) ? cutZones.get(a) : cutZones.get(b);
+      }
+    }
+    return held;
+  }
+
   /** Packets already on their way still arrive; a few take long, as when lost and sent again. */
   void send(String from, String to, Runnable deliver) {
-    List<Runnable> held = cuts.get(pair(from, to));
+    List<Runnable> held = held(from, to);
     if (held != null) {
       held.add(deliver);
     } else {
--- a/src/test/java/org/eiderstair/sim/StateService.java
+++ b/src/test/java/org/eiderstair/sim/StateService.java
@@ -28,6 +28,8 @@
   private boolean down;
   final Set<String> refused = new HashSet<>();
   int mostWrites;
+  /** Every key that was ever there: what must be durable before it is acted on. */
+  final Map<String, Map<String, Object>> ever = new HashMap<>();
 
   StateService(Clock clock) {
     this.clock = clock;
@@ -149,6 +151,7 @@
         }
         Reply.Item item = new Reply.Item(w.key(), w.value(), revision);
         items.put(w.key(), item);
+        ever.put(w.key(), w.value());
         log.add(item);
         attached.remove(w.key());
         if (w.lease() != 0) {
--- /dev/null
+++ b/src/test/java/org/eiderstair/sim/TogetherTest.java
@@ -0,0 +1,132 @@
+package org.eiderstair.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import net.jqwik.api.Example;
+
+/** How controllers act together when some of them are blind: days with one fault each, the dearest at the fleet size. */
+class TogetherTest {
+  private static final long SECOND = 1_000_000;
+  private static final long FAULT = 80 * SECOND;
+  /** More room than the work of the day ever asks for. */
+  private static final Day.Size ROOMY = new Day.Size(5, 900, 240, 900, 160, 60);
+  private final List<String> logs = new ArrayList<>();
+
+  /** @param fault happens while all machines are busy */
+  private Day play(Day.Size size, Consumer<Day> fault) {
+    Day day = WholeDayTest.loaded(5, size, s -> { });
+    day.logs = logs::add;
+    day.clock.after(FAULT, () -> fault.accept(day));
+    day.clock.runUntil(320 * SECOND);
+    day.servedInTime = day.leastServed(200 * SECOND);
+    day.clock.runUntil(480 * SECOND);
+    assertEquals(List.of(), day.broken);
+    assertEquals(List.of(), day.unfinished());
+    assertTrue(day.servedInTime >= 0.5, "served " + day.servedInTime);
+    return day;
+  }
+
+  private long logged(String what) {
+    return logs.stream().filter(l -> l.contains(what)).count();
+  }
+
+  /** Found on the fleet's day of cuts: within ten seconds it gave back half of a healthy fleet as silent. */
+  @Example
+  void aLeaderCutFromItsWorkersHandsOverAndGivesBackNone() {
+    int[] machines = new int[1];
+    Day day = play(Day.Size.fleet(3), d -> {
+      machines[0] = d.machines();
+      d.cutNodeFromWorkers(d.leader(), 40 * SECOND);
+    });
+    assertTrue(machines[0] > 1000, "machines " + machines[0]);
+    assertTrue(day.deletedAlive < 20, "given back alive " + day.deletedAlive);
+    assertEquals(1, logged("no machine reaches this node while peers hear"));
+  }
+
+  @Example
+  void aLeaderCutFromItsPeersGoesOn() {
+    Day day = play(Day.Size.GROWN, d -> d.cutNodeFromPeers(d.leader(), 40 * SECOND));
+    assertTrue(day.deletedAlive < 20, "given back alive " + day.deletedAlive);
+    assertEquals(0, logged("LEADING -> FOLLOWING"), "a leader gives way for its machines, not for its peers");
+  }
+
+  @Example
+  void aLeaderCutFromWorkersAndPeersGivesBackNone() {
+    Day day = play(Day.Size.GROWN, d -> {
+      int leader = d.leader();
+      d.cutNodeFromWorkers(leader, 40 * SECOND);
+      d.cutNodeFromPeers(leader, 40 * SECOND);
+    });
+    assertTrue(day.deletedAlive < 20, "given back alive " + day.deletedAlive);
+  }
+
+  /** Rentals of a leader that the cloud does not answer are settled by the next, under their names. */
+  @Example
+  void whatALeaderCutFromTheCloudLeftOpenIsSettledByTheNext() {
+    Day day = play(Day.Size.GROWN, d -> {
+      int leader = d.leader();
+      d.cutNodeFromCloud(leader, 60 * SECOND);
+      d.clock.after(20 * SECOND, () -> d.crash(leader, 3 * SECOND));
+    });
+    assertTrue(logged("rentals and") >= 2, "taken over");
+    assertTrue(day.deletedAlive < 20, "given back alive " + day.deletedAlive);
+  }
+
+  /** Nobody rents where nobody sees, while there is room elsewhere. */
+  @Example
+  void aZoneThatIsCutIsToldFromMachinesThatDied() {
+    String[] zone = new String[1];
+    int[] there = new int[2];
+    play(ROOMY, d -> {
+      int cut = (d.leader() + 1) % 3;
+      zone[0] = String.valueOf("abc".charAt(cut));
+      d.cutZone(cut, 40 * SECOND);
+      d.clock.after(12 * SECOND, () -> there[0] = d.rentedIn(zone[0]));
+      d.clock.after(39 * SECOND, () -> there[1] = d.rentedIn(zone[0]));
+    });
+    assertEquals(1, logged("zone " + zone[0] + " is DARK"));
+    assertEquals(1, logged("zone " + zone[0] + " is SEEN"));
+    assertEquals(there[0], there[1], "rented where nobody sees");
+  }
+
+  @Example
+  void halfOfAllMachinesDeadAtOnceAreReplaced() {
+    int[] machines = new int[2];
+    Day day = play(Day.Size.GROWN, d -> {
+      machines[0] = d.machines();
+      d.killMachines(50);
+      d.clock.after(60 * SECOND, () -> machines[1] = d.alive());
+    });
+    assertTrue(machines[1] > machines[0] * 3 / 4, "alive a minute later " + machines[1] + " of " + machines[0]);
+    assertTrue(day.deletedAlive < machines[0] / 50, "given back alive " + day.deletedAlive);
+  }
+
+  /** The cloud's lists are old: 542 machines given back by one leader were found and given back again by the next. */
+  @Example
+  void aNewLeaderDoesNotFindWhatTheLastOneGaveBack() {
+    int[] given = new int[1];
+    play(Day.Size.GROWN, d -> {
+      d.killMachines(30);
+      d.clock.after(13 * SECOND, () -> {
+        given[0] = (int) logged(": silent: ");
+        d.crash(d.leader(), 3 * SECOND);
+      });
+    });
+    assertTrue(given[0] > 20, "given back " + given[0]);
+    assertEquals(0, logged("never came up"));
+  }
+
+  @Example
+  void allControllersRestartedWithinASecondLoseNothing() {
+    Day day = play(Day.Size.fleet(5), d -> {
+      for (int i = 0; i < 5; i++) {
+        d.crash(i, 300_000 + i * 150_000);
+      }
+    });
+    assertTrue(day.deletedAlive < 20, "given back alive " + day.deletedAlive);
+  }
+}
--- a/src/test/java/org/eiderstair/sim/WholeDayTest.java
+++ b/src/test/java/org/eiderstair/sim/WholeDayTest.java
@@ -17,14 +17,15 @@
   private static final long SECOND = 1_000_000;
   private static final int DAYS = Integer.getInteger("sim.days", 60);
   private static final int GROWN_DAYS = Integer.getInteger("sim.grown", 3);
+  private static final int FLEET_DAYS = Integer.getInteger("sim.fleet", 2);
   private static final long FIRST = Long.getLong("sim.first", 1);
 
   private static JobSpec job(Day day, int number) {
     boolean red = day.random.nextBoolean();
     int kind = day.random.nextInt(12);
-    return new JobSpec(String.format("job-%06d", number), "any", red ? "red" : "blue",
-        kind == 0 ? JobSpec.Shape.SERVICE : JobSpec.Shape.ARRAY,
-        JobSpec.Priority.values()[day.random.nextInt(4)], kind == 0 ? 2 : 1 + day.random.nextInt(day.size.tasks()),
+    JobSpec.Priority priority = JobSpec.Priority.values()[day.random.nextInt(4)];
+    return new JobSpec(String.format("job-%06d", number), priority.name(), red ? "red" : "blue",
+        kind == 0 ? JobSpec.Shape.SERVICE : JobSpec.Shape.ARRAY, priority, kind == 0 ? 2 : 1 + day.random.nextInt(day.size.tasks()),
         1 + day.random.nextInt(3), 0, 1, kind == 1 ? "mistake" : "img", 0.5, null,
         kind == 2 ? "b" : null, kind == 3 || kind == 4, kind == 5 || kind == 6, day.random.nextInt(3) > 0,
         (3 + day.random.nextInt(15)) * SECOND, 0, 0, JobSpec.NO_DEADLINE);
@@ -34,7 +35,7 @@
     long span = (2 + day.random.nextInt(35)) * SECOND;
     Worker worker = day.anyWorker();
     int node = day.random.nextInt(day.size.nodes());
-    int kind = day.random.nextInt(18);
+    int kind = day.random.nextInt(24);
     day.note("fault " + kind + " for " + span / SECOND + " s, leader n" + day.leader());
     switch (kind) {
       case 0 -> day.crash(day.leader(), 3 * SECOND);
@@ -69,6 +70,28 @@
           worker.sick = true;
         }
       }
+      case 18 -> {
+        // A rental or a return is on its way, and is answered or carried out long after the take-over.
+        day.cutNodeFromCloud(day.leader(), span + 20 * SECOND);
+        int leader = day.leader();
+        day.clock.after(span / 2, () -> day.crash(leader, 3 * SECOND));
+      }
+      case 19 -> day.cutZone(day.random.nextInt(3), span + 10 * SECOND);
+      case 20 -> day.killMachines(50);
+      case 21 -> {
+        // Some are back in the middle of the election.
+        for (int i = 0; i < day.size.nodes(); i++) {
+          day.crash(i, SECOND / 3 + day.random.nextInt(1_000_000));
+        }
+      }
+      case 22 -> {
+        day.cutNodeFromWorkers(day.leader(), span + 10 * SECOND);
+        day.cutNodeFromPeers(day.leader(), span + 10 * SECOND);
+      }
+      case 23 -> {
+        day.cutNodeFromCloud(day.leader(), span + 20 * SECOND);
+        day.stall(day.leader(), 5 * SECOND + span / 4);
+      }
       case 16 -> day.stall(day.leader(), SECOND / 2 + span / 4);
       case 17 -> {
         // Long enough for another to be elected meanwhile.
@@ -92,6 +115,20 @@
   }
 
   static Day play(long seed, Day.Size size, Consumer<Day.Sabotage> sabotage) {
+    Day day = loaded(seed, size, sabotage);
+    int faults = 4 + day.random.nextInt(8);
+    for (int i = 0; i < faults; i++) {
+      day.clock.after((15 + day.random.nextInt(230)) * SECOND, () -> fault(day));
+    }
+    // Faults may still be going on: what came two minutes ago must be half done all the same.
+    day.clock.runUntil(320 * SECOND);
+    day.servedInTime = day.leastServed(200 * SECOND);
+    day.clock.runUntil(600 * SECOND);
+    return day;
+  }
+
+  /** A day with its users, on which nothing fails by itself. */
+  static Day loaded(long seed, Day.Size size, Consumer<Day.Sabotage> sabotage) {
     Day day = new Day(seed, size, sabotage);
     for (int i = 0; i < size.jobs(); i++) {
       int number = i;
@@ -104,11 +141,6 @@
         day.pollUnknown("job-9" + number);
       });
     }
-    int faults = 4 + day.random.nextInt(8);
-    for (int i = 0; i < faults; i++) {
-      day.clock.after((15 + day.random.nextInt(230)) * SECOND, () -> fault(day));
-    }
-    day.clock.runUntil(600 * SECOND);
     return day;
   }
 
@@ -135,6 +167,18 @@
     }
   }
 
+  /** Half as many machines again as the largest deployment, with three and with five controllers. */
+  @Example
+  void everyRuleHoldsAtTheFleetSizeAndNobodyIsLeftBehind() {
+    for (long seed = FIRST; seed < FIRST + FLEET_DAYS; seed++) {
+      Day day = play(seed, Day.Size.fleet(seed % 2 == 0 ? 3 : 5), s -> { });
+      assertEquals(List.of(), day.broken, "seed " + seed);
+      assertEquals(List.of(), day.unfinished(), "seed " + seed);
+      assertTrue(day.started > 5000, "seed " + seed + " started " + day.started);
+      assertTrue(day.servedInTime >= 0.5, "seed " + seed + " served " + day.servedInTime);
+    }
+  }
+
   @Example
   void aDayRepeatsExactly() {
     assertEquals(play(7, s -> { }).started, play(7, s -> { }).started);
--- a/src/test/java/org/eiderstair/sim/Worker.java
+++ b/src/test/java/org/eiderstair/sim/Worker.java
@@ -49,6 +49,7 @@
   private long nextReportMicros;
   private long lastReportMicros;
   boolean dead;
+  long diedMicros;
   boolean sick;
   private long hungUntilMicros;
   private final List<Runnable> whileHung = new ArrayList<>();
@@ -103,8 +104,14 @@
     reportSoon = true;
   }
 
+  /** Whether something is here that a leader of a later term than that has placed. */
+  boolean usedAfter(long term) {
+    return tasks.values().stream().anyMatch(r -> r.state != TaskState.ENDED && r.attempt >> 31 > term);
+  }
+
   void die() {
     dead = true;
+    diedMicros = day.clock.now();
     tasks.keySet().forEach(t -> day.offIf(t, id));
   }
 
