--- a/src/test/java/org/eiderstair/sim/TogetherTest.java
+++ b/src/test/java/org/eiderstair/sim/TogetherTest.java
@@ -87,7 +87,7 @@
       int cut = (d.leader() + 1) % 3;
       zone[0] = String.valueOf("abc".charAt(cut));
       d.cutZone(cut, 40 * SECOND);
-      d.clock.after(12 * SECOND, () -> there[0] = d.rentedIn(zone[0]));
+      d.clock.after(9 * SECOND, () -> there[0] = d.rentedIn(zone[0]));
       d.clock.after(39 * SECOND, () -> there[1] = d.rentedIn(zone[0]));
     });
     assertEquals(1, logged("zone " + zone[0] + " is DARK"));
@@ -113,9 +113,10 @@
     int[] given = new int[1];
     play(Day.Size.GROWN, d -> {
       d.killMachines(30);
-      d.clock.after(13 * SECOND, () -> {
+      d.clock.after(14 * SECOND, () -> {
         given[0] = (int) logged(": silent: ");
-        d.crash(d.leader(), 3 * SECOND);
+        // Back at once, so that the next leader's first list is of the time before.
+        d.crash(d.leader(), SECOND / 3);
       });
     });
     assertTrue(given[0] > 20, "given back " + given[0]);
