--- a/src/test/java/org/eiderstair/sim/TogetherTest.java
+++ b/src/test/java/org/eiderstair/sim/TogetherTest.java
@@ -82,13 +82,14 @@
   void aZoneThatIsCutIsToldFromMachinesThatDied() {
     String[] zone = new String[1];
     int[] there = new int[2];
-    // Work goes on coming, so that machines are asked for during the cut.
     play(ROOMY, d -> {
       int cut = (d.leader() + 1) % 3;
       zone[0] = String.valueOf("abc".charAt(cut));
-      d.cutZone(cut, 40 * SECOND);
+      d.cutZone(cut, 70 * SECOND);
+      // So that machines are asked for during the cut.
+      d.clock.after(12 * SECOND, () -> d.killMachines(60));
       d.clock.after(9 * SECOND, () -> there[0] = d.rentedIn(zone[0]));
-      d.clock.after(39 * SECOND, () -> there[1] = d.rentedIn(zone[0]));
+      d.clock.after(69 * SECOND, () -> there[1] = d.rentedIn(zone[0]));
     });
     assertEquals(1, logged("zone " + zone[0] + " is DARK"));
     assertEquals(1, logged("zone " + zone[0] + " is SEEN"));
@@ -122,6 +123,7 @@
     assertTrue(given[0] > 20, "given back " + given[0]);
     List<String> returned = logs.stream().filter(l -> l.startsWith("returning machine "))
         .map(l -> l.split("[ :]")[2]).toList();
+    assertEquals(0, logged("found in the list"));
     assertEquals(new HashSet<>(returned).size(), returned.size(), "some were given back twice");
   }
 
