--- a/src/main/java/org/eiderstair/core/Fleet.java
+++ b/src/main/java/org/eiderstair/core/Fleet.java
@@ -62,6 +62,7 @@
   private int asksInFlight;
   private long nextAskingMicros;
   private long takenOverMicros;
+  private TakeOver takeOver;
   /** Deleted by this term: a late report or list must not bring one back. */
   final Set<String> gone = new LinkedHashSet<>();
   /** Set whenever something changed that may let a task be placed. */
@@ -90,15 +91,17 @@
   }
 
   /** Take-over: everything rostered may hold work of earlier terms until it has been heard. */
-  void takeOver(long nowMicros) {
+  void takeOver(long electedMicros, long nowMicros) {
     now = nowMicros;
     takenOverMicros = now;
+    takeOver = new TakeOver(ports, term, electedMicros);
     for (Replica.RosterEntry entry : replica.roster.values()) {
       Machine m = new Machine(entry.machine(), term, Machine.Phase.UNHEARD, now);
       describe(m, entry.address(), entry.type(), entry.zone(), entry.spot());
       m.rostered = true;
       add(m);
     }
+    takeOver.caughtUp(unheard.size(), now);
   }
 
   /** A machine comes into the picture. */
@@ -114,6 +117,9 @@
     leased.remove(m);
     m.phase = next;
     enter(m);
+    if (takeOver != null) {
+      takeOver.unheard(unheard.size(), now);
+    }
   }
 
   private void enter(Machine m) {
@@ -766,6 +772,9 @@
   }
 
   private void launch(Machine m, long sequence, List<Order> orders) {
+    if (takeOver != null && !m.toLaunch.isEmpty()) {
+      takeOver.launched(now);
+    }
     for (Attempt a : m.toLaunch) {
       a.phase = Attempt.Phase.SENT;
       a.sentSequence = sequence;
--- a/src/main/java/org/eiderstair/core/Scheduler.java
+++ b/src/main/java/org/eiderstair/core/Scheduler.java
@@ -25,6 +25,7 @@
   private final Renting renting;
   private final long term;
   private boolean started;
+  private long electedMicros;
   private long nextReachMicros;
   private long nextSummaryMicros;
   private long lastPassMicros = Long.MIN_VALUE / 2;
@@ -73,6 +74,7 @@
 
   void tick(long nowMicros) {
     now = nowMicros;
+    electedMicros = electedMicros == 0 ? now : electedMicros;
     if (!started) {
       // What an earlier term wrote last must be in the picture, above all its roster and its newest jobs.
       if (replica.revision() < term) {
@@ -80,7 +82,7 @@
       }
       started = true;
       replica.jobs.values().forEach(Job::forgetPlaces);
-      fleet.takeOver(now);
+      fleet.takeOver(electedMicros, now);
       renting.takeOver(now);
     }
     // Passes are due soon after every event: one that is late says that there is more to do than can be done.
--- /dev/null
+++ b/src/main/java/org/eiderstair/core/TakeOver.java
@@ -0,0 +1,76 @@
+package org.eiderstair.core;
+
+/** How a term began, for one line in the log: where the time between the election and ordinary work went. */
+final class TakeOver {
+
+  /**
+   * CATCHING_UP reads what the term before wrote last. HEARING hears the machines that were in the roster. WHOLE has
+   * heard each of them, or had proof that it is gone.
+   */
+  enum Phase { CATCHING_UP, HEARING, WHOLE }
+
+  private static final long NEVER = -1;
+
+  private final Ports ports;
+  private final long term;
+  private final long electedMicros;
+  private Phase phase = Phase.CATCHING_UP;
+  private int machines;
+  private long caughtUpMicros = NEVER;
+  private long halfMicros = NEVER;
+  private long mostMicros = NEVER;
+  private long launchedMicros = NEVER;
+
+  TakeOver(Ports ports, long term, long electedMicros) {
+    this.ports = ports;
+    this.term = term;
+    this.electedMicros = electedMicros;
+  }
+
+  Phase phase() {
+    return phase;
+  }
+
+  /** The one function for every change of phase. */
+  private void become(Phase next, long nowMicros) {
+    phase = next;
+    if (next == Phase.WHOLE) {
+      ports.info("take-over WHOLE, term=" + term + ": " + machines + " machines; ms after the election: caught up "
+          + since(caughtUpMicros) + ", first launch " + since(launchedMicros) + ", half heard " + since(halfMicros)
+          + ", 95% heard " + since(mostMicros) + ", all heard or gone " + since(nowMicros));
+    }
+  }
+
+  private String since(long micros) {
+    return micros == NEVER ? "not yet" : String.valueOf((micros - electedMicros) / 1000);
+  }
+
+  void caughtUp(int unheard, long nowMicros) {
+    machines = unheard;
+    caughtUpMicros = nowMicros;
+    become(Phase.HEARING, nowMicros);
+    unheard(unheard, nowMicros);
+  }
+
+  /** So many machines have not been heard yet. */
+  void unheard(int left, long nowMicros) {
+    if (phase != Phase.HEARING) {
+      return;
+    }
+    if (halfMicros == NEVER && left * 2 <= machines) {
+      halfMicros = nowMicros;
+    }
+    if (mostMicros == NEVER && left * 20L <= machines) {
+      mostMicros = nowMicros;
+    }
+    if (left == 0) {
+      become(Phase.WHOLE, nowMicros);
+    }
+  }
+
+  void launched(long nowMicros) {
+    if (launchedMicros == NEVER) {
+      launchedMicros = nowMicros;
+    }
+  }
+}
