--- a/src/main/java/org/eiderstair/core/Renting.java
+++ b/src/main/java/org/eiderstair/core/Renting.java
@@ -19,6 +19,7 @@
 final class Renting {
   private static final long DECIDE_EVERY_MICROS = 1_000_000;
   private static final long LIST_EVERY_MICROS = 5_000_000;
+  private static final long LIST_UNHEARD_MICROS = 1_500_000;
   private static final long CATALOG_EVERY_MICROS = 120_000_000;
   private static final long REFUSED_PAUSE_MICROS = 15_000_000;
   private static final long RETRY_MICROS = 1_500_000;
@@ -121,7 +122,8 @@
     duties.tick(now);
     if (!listing && now >= nextListMicros && mayCall()) {
       listing = true;
-      nextListMicros = now + LIST_EVERY_MICROS;
+      // What is gone already would hold back all older work until it is seen to be gone.
+      nextListMicros = now + (fleet.unheard().isEmpty() ? LIST_EVERY_MICROS : LIST_UNHEARD_MICROS);
       list(null);
     }
   }
--- a/src/main/java/org/eiderstair/core/member/Survey.java
+++ b/src/main/java/org/eiderstair/core/member/Survey.java
@@ -10,6 +10,8 @@
 public final class Survey {
   /** Fewer silent machines than that are no zone's fault and none of this node's. */
   private static final int MANY = 3;
+  /** One in so many is few. */
+  private static final int FEW_PART = 20;
   /** So many times the patience with one machine when most of all are silent. */
   private static final int CUT_OFF_FACTOR = 3;
 
@@ -51,6 +53,7 @@
   private int silent;
   private int all;
   private int elsewhere;
+  private int holding;
 
   Survey(Membership peers, Iterable<? extends Member> machines, long patienceMicros, long darkMicros, long now) {
     this.peers = peers;
@@ -63,6 +66,7 @@
       }
       Zone zone = zones.computeIfAbsent(String.valueOf(m.zone()), z -> new Zone());
       all++;
+      holding += m.holdsBack() ? 1 : 0;
       zone.all++;
       zone.latestMicros = Math.max(zone.latestMicros, m.lastHeardMicros());
       if (isMissed(m)) {
@@ -76,7 +80,7 @@
 
   /** Silent for long enough to ask peers for it, so that they have answered when patience is over. */
   private boolean isMissed(Member m) {
-    long patience = m.holdsBack() ? patienceMicros / 2 : patienceMicros;
+    long patience = m.holdsBack() ? patienceMicros * 2 / 5 : patienceMicros;
     return m.lastHeardMicros() != Long.MAX_VALUE && now > m.lastHeardMicros() + patience * 4 / 5;
   }
 
@@ -107,8 +111,10 @@
       return Verdict.ELSEWHERE;
     }
     boolean dark = peers.isDark(String.valueOf(m.zone()));
-    // Where all work waits for what is unheard, a whole zone that nobody sees has said enough in half the time.
-    long patience = m.holdsBack() && dark && !cutOff() ? patienceMicros / 2 : patienceMicros;
+    // Where all work waits for what is unheard, a whole zone that nobody sees has said enough in half the time; so have a few
+    // machines that do not answer when they are asked, while all others have.
+    boolean few = holding * FEW_PART <= all;
+    long patience = m.holdsBack() && (dark && !cutOff() || few) ? patienceMicros * 2 / 5 : patienceMicros;
     if (now <= last + patience) {
       return Verdict.DOUBTED;
     }
