--- a/src/main/java/org/eiderstair/core/Demand.java
+++ b/src/main/java/org/eiderstair/core/Demand.java
@@ -33,7 +33,6 @@
   private final Replica replica;
   private final Map<String, Held> classes = new LinkedHashMap<>();
   private long measuredMicros;
-  private boolean restricted;
 
   Demand(Settings settings, Replica replica) {
     this.settings = settings;
@@ -72,15 +71,9 @@
       }
     }
     wishes.sort(Comparator.comparing((Wish w) -> w.spec().spotAllowed()));
-    restricted = !wishes.isEmpty() && !wishes.get(0).spec().spotAllowed();
     return wishes;
   }
 
-  /** Whether some work that is wanted now or was lately may use no cheap machines. */
-  boolean restricted() {
-    return restricted;
-  }
-
   /**
    * What each class lately wanted at once, for its team to keep from less urgent work. Only classes whose start is
    * waited for: for the others their priority is enough. Seen after a burst: 2,400 tasks of low priority stood still
--- a/src/main/java/org/eiderstair/core/Placement.java
+++ b/src/main/java/org/eiderstair/core/Placement.java
@@ -328,9 +328,7 @@
     }
 
     void add(Machine m) {
-      // Where other work may use no cheap machines, a cheap one comes first even if it is more than the demand asks for.
-      boolean apart = demand.restricted();
-      int liking = (m.surplus ? 0 : apart ? 4 : 8) + (m.spot ? apart ? 8 : 4 : 0) + (m.hasImage(spec) ? 2 : 0)
+      int liking = (m.surplus ? 0 : 8) + (m.spot ? 4 : 0) + (m.hasImage(spec) ? 2 : 0)
           + (m.attempts.isEmpty() ? 0 : 1);
       if (byLiking == null) {
         byLiking = new ArrayList<>(Collections.nCopies(LIKINGS, null));
