--- a/src/main/java/org/eiderstair/config/OperatorFile.java
+++ b/src/main/java/org/eiderstair/config/OperatorFile.java
@@ -15,7 +15,7 @@
   public static final Settings.Tuning DEFAULTS = Settings.Tuning.defaults();
 
   private static final Set<String> KNOWN = Set.of("token_list_size", "machine_queue", "leader_ttl_s", "leader_renew_s",
-      "unheard_delete_s", "dark_delete_s", "idle_return_s", "rent_batch");
+      "unheard_delete_s", "dark_delete_s", "idle_return_s", "rent_batch", "standbys");
 
   private final Path file;
   private final Map<String, Object> values;
@@ -49,7 +49,8 @@
         f.micros("unheard_delete_s", 1, 3600, d.unheardDeleteMicros()),
         f.micros("dark_delete_s", 1, 3600, d.darkDeleteMicros()),
         f.micros("idle_return_s", 0, 86_400, d.idleReturnMicros()),
-        (int) f.number("rent_batch", 1, 50, d.rentBatch()));
+        (int) f.number("rent_batch", 1, 50, d.rentBatch()),
+        (int) f.number("standbys", 0, 1, d.standbys()));
     if (tuning.leaderRenewMicros() * 2 > tuning.leaderTtlMicros()) {
       throw new BadConfig(file + ": leader_renew_s: must be at most half of leader_ttl_s");
     }
--- a/src/main/java/org/eiderstair/config/PlatformFile.java
+++ b/src/main/java/org/eiderstair/config/PlatformFile.java
@@ -60,7 +60,7 @@
         micros(workers, "settings.workers.report_s", "report_s"), lease, cancel,
         positive(state, "settings.state.rps", "rps"), positive(state, "settings.state.write_rps", "write_rps"),
         (int) positive(state, "settings.state.txn_ops", "txn_ops"), positive(cloud, "settings.cloud.rps", "rps"),
-        tuning, nodeZones);
+        tuning, nodeZones, resources.path("cpu").asDouble(0));
     String bind = address(root, "bind", "bind");
     String peerBind = address(root, "peer_bind", "peer_bind");
     return new NodeConfig(core, host(bind), port(bind), host(peerBind), port(peerBind),
--- a/src/main/java/org/eiderstair/core/Answer.java
+++ b/src/main/java/org/eiderstair/core/Answer.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.eiderstair.core.member.Hearing;
+import org.eiderstair.core.standby.Batch;
 
 /** What a node says to a user, a worker or a health check. */
 public sealed interface Answer {
@@ -26,5 +27,8 @@
   /** To a peer: which machines this node hears by itself. */
   record Heard(Hearing hearing) implements Answer {}
 
+  /** To a leader: how far its picture is here. */
+  record StandbyAck(Batch.Ack ack) implements Answer {}
+
   record Ready(boolean ready) implements Answer {}
 }
--- a/src/main/java/org/eiderstair/core/Core.java
+++ b/src/main/java/org/eiderstair/core/Core.java
@@ -1,8 +1,10 @@
 package org.eiderstair.core;
 
+import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.IntUnaryOperator;
 import org.eiderstair.core.member.Membership;
+import org.eiderstair.core.standby.Standby;
 
 /**
  * One controller without input, output, clock or thread: events come in with the time, effects go out. Given
@@ -10,6 +12,7 @@
  */
 public final class Core implements Replica.Listener, Leadership.Listener {
   private static final long LONGEST_TICK_MICROS = 50_000;
+  private static final long CLAIM_AGAIN_MICROS = 2_000_000;
 
   private final Settings settings;
   private final Ports ports;
@@ -20,6 +23,9 @@
   private final Relay relay;
   private final StateReach reach;
   private final Membership membership;
+  private final Standby standby;
+  private boolean claiming;
+  private long nextClaimMicros;
   private Scheduler scheduler;
   private long now;
 
@@ -40,6 +46,7 @@
     ports.watch(reach::replied);
     this.membership = new Membership(settings.node(), settings.peers(), settings.nodeZones(), incarnation,
         settings.reportMicros(), this::askHeard, ports::info);
+    this.standby = new Standby(settings.node(), incarnation, ports::info);
     this.leadership = new Leadership(settings, ports, replica, incarnation, random, this);
   }
 
@@ -88,6 +95,11 @@
       ports.respond(asked.exchange(), reach.standing());
     } else if (event instanceof Event.PeerHeardAsked asked) {
       ports.respond(asked.exchange(), new Answer.Heard(membership.tell(asked.run(), asked.after(), now)));
+    } else if (event instanceof Event.StandbyTold told) {
+      // A leader that is known to have been replaced is not followed.
+      boolean mayFollow = leadership.follows()
+          && (replica.leader() == null || told.batch().term() >= replica.leader().term());
+      ports.respond(told.exchange(), new Answer.StandbyAck(standby.take(told.batch(), mayFollow, now)));
     } else if (event instanceof Event.ReadyProbe probe) {
       ports.respond(probe.exchange(), new Answer.Ready(replica.loaded() && !reach.alone()));
     }
@@ -115,6 +127,7 @@
     if (newer != null && leadership.inOffice()) {
       leadership.deposed("a peer that the state service serves follows " + newer + ", term=" + reach.newerTerm());
     }
+    claimIfMissed();
     leadership.tick(now);
     desk.tick(now);
     if (scheduler != null) {
@@ -147,6 +160,46 @@
             : reply instanceof Reply.Refused refused && refused.status() == 404 ? new Membership.Answer(null) : null));
   }
 
+  /**
+   * The standby in sync has not heard its leader for a while: it claims the term in the record, so that the leader, which
+   * launches nothing that the standby does not acknowledge, can never launch again; then it ends that leader's lease instead
+   * of waiting for it. A leader that is alive and merely out of this node's reach has struck it from the record by now.
+   */
+  private void claimIfMissed() {
+    Reply.Item record = replica.duties.get(Standby.RECORD);
+    Replica.Leader leader = replica.leader();
+    if (claiming || now < nextClaimMicros || record == null || leader == null || !leadership.follows()
+        || !standby.misses(now) || !standby.named(record.value())
+        || Records.whole(record.value(), "epoch", 0) != leader.term()) {
+      return;
+    }
+    claiming = true;
+    standby.stands();
+    ports.info("claiming the term of " + leader.node() + ", which is not heard, term=" + leader.term());
+    ports.call(new Request.StoreTxn(List.of(new Request.Condition(Records.LEADER, leader.term()),
+        new Request.Condition(Standby.RECORD, record.version())),
+        List.of(new Request.Write(Standby.RECORD, Standby.claim(record.value()), 0))), reply -> {
+          claiming = false;
+          nextClaimMicros = now + CLAIM_AGAIN_MICROS;
+          ports.info("claim of term " + leader.term() + ": " + reply);
+          if (reply instanceof Reply.Applied applied) {
+            replica.apply(new Reply.Item(Standby.RECORD, Standby.claim(record.value()), applied.revision()));
+            ports.call(new Request.LeaseDrop(leader.lease()), dropped -> { });
+          }
+        });
+  }
+
+  @Override
+  public void stands() {
+    standby.stands();
+  }
+
+  @Override
+  public boolean anotherInSync() {
+    Reply.Item record = replica.duties.get(Standby.RECORD);
+    return record != null && !standby.named(record.value());
+  }
+
   public boolean leads() {
     return leadership.inOffice();
   }
@@ -170,7 +223,7 @@
 
   @Override
   public void tookOffice(long term) {
-    scheduler = new Scheduler(settings, ports, replica, leadership, membership, term, random);
+    scheduler = new Scheduler(settings, ports, replica, leadership, membership, standby, term, random);
   }
 
   @Override
--- a/src/main/java/org/eiderstair/core/Event.java
+++ b/src/main/java/org/eiderstair/core/Event.java
@@ -1,5 +1,7 @@
 package org.eiderstair.core;
 
+import org.eiderstair.core.standby.Batch;
+
 /** What happens to the core. */
 public sealed interface Event {
 
@@ -22,6 +24,9 @@
   /** A peer asks which machines this node hears, as changes after what a run of this node has told it already. */
   record PeerHeardAsked(long exchange, String run, long after) implements Event {}
 
+  /** A leader tells what changed in its picture. */
+  record StandbyTold(long exchange, Batch batch) implements Event {}
+
   record ReadyProbe(long exchange) implements Event {}
 
   /** A worker reports; {@code relayed} when it came through another node. */
--- a/src/main/java/org/eiderstair/core/Fleet.java
+++ b/src/main/java/org/eiderstair/core/Fleet.java
@@ -8,8 +8,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.eiderstair.core.member.Membership;
+import org.eiderstair.core.standby.Batch;
+import org.eiderstair.core.standby.Standby;
 
 /**
  * The machines of one term and what may be on them. A task comes free here only on proof: a newer report
@@ -38,17 +41,22 @@
   private final Ledger ledger;
   private final TokenList tokens;
   private final Teams teams;
+  private final Standby standby;
   private final long term;
   private long attempts;
   private boolean closed;
   private long now;
   private Predicate<String> leaving = id -> false;
-  /** When a report last came from a machine itself, not through a peer. */
-  private long directMicros;
+  /** Reports that came from machines themselves, not through a peer, since the window began. */
+  private int direct;
+  private long windowMicros;
+  private boolean unreached;
 
   final Map<String, Machine> machines = new LinkedHashMap<>();
   // One report must cost one machine: what the fleet as a whole needs is kept in these as machines change.
   private final Set<Machine> unheard = new LinkedHashSet<>();
+  /** Not heard in this term, but known from the standby's picture. */
+  private final Set<Machine> pictured = new LinkedHashSet<>();
   private final Set<Machine> fencing = new LinkedHashSet<>();
   /** Machines that have shown our token, the one answered longest ago first: their leases end in this order. */
   private final Set<Machine> leased = new LinkedHashSet<>();
@@ -69,7 +77,8 @@
   boolean changed = true;
 
   Fleet(Settings settings, Ports ports, Replica replica, Leadership leadership, Ledger ledger, TokenList tokens,
-      Teams teams, long term) {
+      Teams teams, Standby standby, long term) {
+    this.standby = standby;
     this.settings = settings;
     this.ports = ports;
     this.replica = replica;
@@ -90,20 +99,61 @@
     toAnswer.clear();
   }
 
-  /** Take-over: everything rostered may hold work of earlier terms until it has been heard. */
-  void takeOver(long electedMicros, long nowMicros) {
+  /**
+   * Take-over: everything rostered may hold work of earlier terms until it has been heard, but no more than what the picture
+   * shows where there is one. A machine that it does not show holds nothing.
+   */
+  void takeOver(long electedMicros, Map<String, Standby.Held> picture, long nowMicros) {
     now = nowMicros;
     takenOverMicros = now;
     takeOver = new TakeOver(ports, term, electedMicros);
     for (Replica.RosterEntry entry : replica.roster.values()) {
-      Machine m = new Machine(entry.machine(), term, Machine.Phase.UNHEARD, now);
+      Machine.Phase phase = picture == null ? Machine.Phase.UNHEARD : Machine.Phase.PICTURED;
+      Machine m = new Machine(entry.machine(), term, phase, now);
       describe(m, entry.address(), entry.type(), entry.zone(), entry.spot());
       m.rostered = true;
       add(m);
+      if (picture != null && picture.containsKey(m.id)) {
+        inherit(m, picture.get(m.id));
+      }
     }
     takeOver.caughtUp(unheard.size(), now);
   }
 
+  private void inherit(Machine m, Standby.Held held) {
+    m.session = held.session();
+    held.attempts().forEach((id, tasks) -> tasks.forEach((index, number) -> {
+      Job job = replica.jobs.get(id);
+      // What is durably done or over without a description can only be stopped, once it is shown.
+      if (job != null && job.spec() != null && index < job.tasks() && !job.done.get(index)
+          && !job.active.containsKey(index)) {
+        attach(new Attempt(job, index, number, m, Attempt.Phase.SEEN, now));
+      }
+    }));
+    m.measureRoom();
+    updateQueueable(m);
+    roomChanged(m);
+  }
+
+  /** Tells the standby of an attempt that may be on its machine from now on, or is not any more. */
+  private void tell(Attempt a, boolean there) {
+    standby.change(new Batch.Change(there, a.machine.id, a.machine.session, a.job.id, a.index, a.number));
+  }
+
+  /** All that a standby must know of this leader's picture. */
+  void snapshot(Consumer<Batch.Change> each) {
+    for (Machine m : machines.values()) {
+      if (m.session > 0) {
+        each.accept(new Batch.Change(true, m.id, m.session, "", 0, 0));
+      }
+      for (Attempt a : m.attempts.values()) {
+        if (a.phase == Attempt.Phase.SENT || a.phase == Attempt.Phase.SEEN) {
+          each.accept(new Batch.Change(true, m.id, m.session, a.job.id, a.index, a.number));
+        }
+      }
+    }
+  }
+
   /** A machine comes into the picture. */
   void add(Machine m) {
     machines.put(m.id, m);
@@ -113,6 +163,7 @@
   /** The one function for a change of a machine's phase: the sets above follow it. */
   private void become(Machine m, Machine.Phase next) {
     unheard.remove(m);
+    pictured.remove(m);
     fencing.remove(m);
     leased.remove(m);
     m.phase = next;
@@ -125,6 +176,7 @@
   private void enter(Machine m) {
     switch (m.phase) {
       case UNHEARD -> unheard.add(m);
+      case PICTURED -> pictured.add(m);
       case FENCING -> {
         fencing.add(m);
         leased.add(m);
@@ -143,7 +195,7 @@
   }
 
   private void updateQueueable(Machine m) {
-    boolean open = m.phase == Machine.Phase.HEARD && m.plan == Machine.Plan.USE && m.rostered && m.type != null;
+    boolean open = m.known() && m.plan == Machine.Plan.USE && m.rostered && m.type != null;
     if (open == m.queueableIndex >= 0) {
       return;
     }
@@ -215,9 +267,7 @@
    */
   void reported(long exchange, MachineReport report, boolean relayed, long nowMicros) {
     now = nowMicros;
-    if (!relayed) {
-      directMicros = now;
-    }
+    direct += relayed ? 0 : 1;
     if (report.token() >> 20 > term) {
       ports.respond(exchange, new Answer.Redirect(null));
       leadership.deposed("machine " + report.machine() + " has seen token " + report.token());
@@ -283,6 +333,9 @@
       // beginning, whenever we last answered the session before.
       answered(m);
     }
+    if (report.session() != m.session) {
+      standby.change(new Batch.Change(true, m.id, report.session(), "", 0, 0));
+    }
     m.session = report.session();
     m.sequence = report.sequence();
     if (report.noticeMicros() != MachineReport.NO_NOTICE && m.plan == Machine.Plan.USE) {
@@ -300,7 +353,8 @@
         m.idleSinceMicros = now;
       }
     }
-    if (!truth && (m.phase == Machine.Phase.UNHEARD || m.phase == Machine.Phase.FENCING)) {
+    if (!truth && (m.phase == Machine.Phase.UNHEARD || m.phase == Machine.Phase.PICTURED
+        || m.phase == Machine.Phase.FENCING)) {
       // Older commands may still arrive there; what it shows proves nothing yet.
       return;
     }
@@ -339,7 +393,7 @@
 
   /** The machine may have got room: it gets its token, and what waits for it its turn. */
   private void roomChanged(Machine m) {
-    if (m.plan == Machine.Plan.USE && m.phase == Machine.Phase.HEARD && m.hasRoom()) {
+    if (m.plan == Machine.Plan.USE && m.known() && m.hasRoom()) {
       tokens.offer(m);
       if (!m.queue.isEmpty()) {
         toServe.add(m);
@@ -385,6 +439,7 @@
     a.runningSinceMicros = now;
     m.useImage(job.spec());
     attach(a);
+    tell(a, true);
   }
 
   /**
@@ -563,6 +618,8 @@
       a.machine.give(a.spec);
       if (a.phase == Attempt.Phase.PLANNED) {
         a.machine.toLaunch.remove(a);
+      } else {
+        tell(a, false);
       }
       roomChanged(a.machine);
     }
@@ -602,6 +659,7 @@
       tokens.remove(m);
       freeAll(m, "machine deleted");
       toSend.remove(m);
+      standby.change(new Batch.Change(false, id, 0, "", 0, 0));
     }
     changed = true;
   }
@@ -630,10 +688,11 @@
       freeAll(m, "lease over");
     }
     boolean patient = busy && now < takenOverMicros + settings.reportMicros();
-    if (!patient && now >= nextAskingMicros && !(unheard.isEmpty() && fencing.isEmpty())) {
+    if (!patient && now >= nextAskingMicros && !(unheard.isEmpty() && fencing.isEmpty() && pictured.isEmpty())) {
       nextAskingMicros = now + ASKING_EVERY_MICROS;
       fencing.forEach(this::askIfDue);
       unheard.forEach(this::askIfDue);
+      pictured.forEach(this::askIfDue);
     }
   }
 
@@ -645,12 +704,18 @@
   }
 
   /**
-   * Whether no machine has reached this leader by itself for much longer than so many machines take to report. That
-   * alone may be their fault as well as its own: peers tell.
+   * Whether hardly any machine reaches this leader by itself: over the time that ten reports of the fleet take, less than a
+   * tenth of them came. That alone may be the machines' fault as well as its own: peers tell.
    */
   boolean unreached() {
-    long between = settings.reportMicros() / Math.max(1, leased.size());
-    return leased.size() >= FEW && now > Math.max(directMicros, takenOverMicros) + Math.max(QUIET_MICROS, REPORTS * between);
+    long window = Math.max(QUIET_MICROS, REPORTS * settings.reportMicros() / Math.max(1, leased.size()));
+    if (now >= windowMicros + window) {
+      double expected = (double) (now - windowMicros) * leased.size() / settings.reportMicros();
+      unreached = windowMicros > takenOverMicros && leased.size() >= FEW && direct * REPORTS < expected;
+      windowMicros = now;
+      direct = 0;
+    }
+    return unreached;
   }
 
   /** How many machines that this leader knows a peer hears. */
@@ -730,7 +795,7 @@
       Machine m = it.next();
       if (m.toLaunch.isEmpty() && !m.killsPending) {
         it.remove();
-      } else if (!m.commandInFlight && m.phase == Machine.Phase.HEARD && may && !comesThroughPeer(m)) {
+      } else if (!m.commandInFlight && m.known() && may && now >= m.holdUntilMicros && !comesThroughPeer(m)) {
         it.remove();
         send(m);
       }
@@ -754,8 +819,13 @@
     answered(m);
     m.killsPending = false;
     boolean launches = may && m.phase == Machine.Phase.HEARD;
-    ports.respond(m.exchange, new Answer.Command(m.token(), orders),
-        launches ? leadership.authorityEnd() : leadership.answersEnd());
+    long exchange = m.exchange;
+    Answer answer = new Answer.Command(m.token(), orders);
+    if (launches && hasLaunch(orders)) {
+      standby.launch(() -> ports.respond(exchange, answer, leadership.authorityEnd()));
+    } else {
+      ports.respond(exchange, answer, launches ? leadership.authorityEnd() : leadership.answersEnd());
+    }
     m.exchange = 0;
   }
 
@@ -779,6 +849,7 @@
       a.phase = Attempt.Phase.SENT;
       a.sentSequence = sequence;
       a.sinceMicros = now;
+      tell(a, true);
       orders.add(new Order.Launch(a.task(), a.number));
     }
     m.toLaunch.clear();
@@ -786,7 +857,20 @@
 
   private void command(Machine m, long session, List<Order> orders, Runnable over) {
     m.commandInFlight = true;
-    ports.call(new Request.WorkerCommands(m.address, m.token(), session, orders), leadership.authorityEnd(), reply -> {
+    Request request = new Request.WorkerCommands(m.address, m.token(), session, orders);
+    if (hasLaunch(orders)) {
+      standby.launch(() -> call(m, request, orders, over));
+    } else {
+      call(m, request, orders, over);
+    }
+  }
+
+  private static boolean hasLaunch(List<Order> orders) {
+    return !orders.isEmpty() && orders.get(orders.size() - 1) instanceof Order.Launch;
+  }
+
+  private void call(Machine m, Request request, List<Order> orders, Runnable over) {
+    ports.call(request, leadership.authorityEnd(), reply -> {
       m.commandInFlight = false;
       over.run();
       if (closed || m.phase == Machine.Phase.GONE) {
@@ -807,7 +891,13 @@
         return;
       }
       // The command may still arrive, minutes later: kill it with a higher token before anything is concluded.
-      boolean launched = orders.stream().anyMatch(o -> o instanceof Order.Launch);
+      boolean launched = hasLaunch(orders);
+      if (launched && m.phase == Machine.Phase.PICTURED) {
+        m.raiseFence();
+        tokens.remove(m);
+        m.nextAskMicros = now + 500_000;
+        m.holdUntilMicros = now + UNREACHED_MICROS;
+      }
       if (launched && m.phase == Machine.Phase.HEARD) {
         ports.info("no answer from " + m.id + " to a command: raising its fence, term=" + term + ": " + reply);
         m.raiseFence();
--- a/src/main/java/org/eiderstair/core/Leadership.java
+++ b/src/main/java/org/eiderstair/core/Leadership.java
@@ -17,6 +17,12 @@
   enum State { FOLLOWING, GRANTING, CREATING, LEADING, FADING }
 
   interface Listener {
+    /** This node asks to lead; nothing that it was told as a follower may change any more. */
+    void stands();
+
+    /** Whether another controller than this one holds the last leader's picture, and so should ask first. */
+    boolean anotherInSync();
+
     void tookOffice(long term);
 
     void leftOffice(String why);
@@ -56,6 +62,11 @@
     this.listener = listener;
   }
 
+  /** Whether this node neither leads nor asks to. */
+  boolean follows() {
+    return state == State.FOLLOWING;
+  }
+
   /** Whether commands may be sent at this moment. */
   boolean mayCommand(long nowMicros) {
     return state == State.LEADING && nowMicros < authorityEnd();
@@ -150,6 +161,7 @@
       return;
     }
     become(State.GRANTING, "no leader");
+    listener.stands();
     long sentMicros = now;
     ports.call(new Request.LeaseGrant(settings.tuning().leaderTtlMicros()), reply -> {
       if (reply instanceof Reply.LeaseGranted granted && replica.leader() == null) {
@@ -233,11 +245,12 @@
     if (inOffice() && (leader == null || leader.term() != term)) {
       become(State.FOLLOWING, leader == null ? "leader key dropped" : "another leads, term=" + leader.term());
     } else if (leader == null && state == State.FOLLOWING && loadedMicros != Long.MAX_VALUE
-        && now < loadedMicros + COLD_MICROS) {
+        && (now < loadedMicros + COLD_MICROS || listener.anotherInSync())) {
       // A cold leader needs many times the processor time for the same reports. This changes who asks first, never who
       // may lead; and a key that is not there at the start was left by all the warm ones, so then nothing waits.
-      // Twice the time for which a warm one may gather changes before it learns of this one.
-      int pause = (int) (2 * settings.gatherMicros());
+      // One that holds the last leader's picture goes before both. Twice the time for which a warm one may gather changes before it learns of this one.
+      boolean cold = now < loadedMicros + COLD_MICROS;
+      int pause = (int) ((cold && listener.anotherInSync() ? 4 : 2) * settings.gatherMicros());
       standAfterMicros = Math.max(standAfterMicros, now + pause + random.applyAsInt(pause));
     }
   }
--- a/src/main/java/org/eiderstair/core/Machine.java
+++ b/src/main/java/org/eiderstair/core/Machine.java
@@ -13,11 +13,12 @@
 final class Machine implements Survey.Member {
 
   /**
-   * BOOTING was rented and has not reported. UNHEARD may hold work of earlier terms. HEARD has shown our token.
+   * BOOTING was rented and has not reported. UNHEARD may hold work of earlier terms. PICTURED has not been heard in this term,
+   * but holds no more than what this node was told as the standby of the last. HEARD has shown our token.
    * FENCING got a command whose fate is unknown. LOST has had no answer for so long that its lease is over, so
    * nothing is on it. GONE is deleted.
    */
-  enum Phase { BOOTING, UNHEARD, HEARD, FENCING, LOST, GONE }
+  enum Phase { BOOTING, UNHEARD, PICTURED, HEARD, FENCING, LOST, GONE }
 
   /** What the leader wants of it. */
   enum Plan { USE, DRAIN, DELETE }
@@ -120,7 +121,12 @@
   }
 
   boolean usable(long nowMicros) {
-    return phase == Phase.HEARD && plan == Plan.USE && rostered && type != null && nowMicros >= holdUntilMicros;
+    return known() && plan == Plan.USE && rostered && type != null && nowMicros >= holdUntilMicros;
+  }
+
+  /** Whether all that may be on it and its session are known, so that it can be given work. */
+  boolean known() {
+    return phase == Phase.HEARD || phase == Phase.PICTURED && session > 0;
   }
 
   private double freeCpus;
--- a/src/main/java/org/eiderstair/core/Reply.java
+++ b/src/main/java/org/eiderstair/core/Reply.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import org.eiderstair.core.member.Hearing;
+import org.eiderstair.core.standby.Batch;
 
 /** What came of a {@link Request}. */
 public sealed interface Reply {
@@ -44,6 +45,9 @@
   /** Which machines a peer hears by itself. */
   record PeerHeard(Hearing hearing) implements Reply {}
 
+  /** What a peer says to changes of the leader's picture. */
+  record StandbyAck(Batch.Ack ack) implements Reply {}
+
   record Relayed(Answer answer) implements Reply {}
 
   /** Answered, and certainly not executed: the status says why (404, 410, 429, 503 ...). */
--- a/src/main/java/org/eiderstair/core/Request.java
+++ b/src/main/java/org/eiderstair/core/Request.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import org.eiderstair.core.standby.Batch;
 
 /** What the core asks of the world. Each gets exactly one {@link Reply}. */
 public sealed interface Request {
@@ -44,6 +45,9 @@
   /** Asks a peer which machines it hears, as changes after what one of its runs has told already. */
   record PeerHeard(String peer, String run, long after) implements Request {}
 
+  /** Tells a peer what changed in the leader's picture. */
+  record PeerStandby(String peer, Batch batch) implements Request {}
+
   /** A worker's report, passed to the leader by a node that the worker can reach. */
   record PeerRelay(String peer, MachineReport report) implements Request {}
 }
--- a/src/main/java/org/eiderstair/core/Scheduler.java
+++ b/src/main/java/org/eiderstair/core/Scheduler.java
@@ -1,7 +1,14 @@
 package org.eiderstair.core;
 
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.IntUnaryOperator;
+import java.util.function.LongConsumer;
 import org.eiderstair.core.member.Membership;
+import org.eiderstair.core.standby.Batch;
+import org.eiderstair.core.standby.Standby;
 
 /** Everything that a leader does in one term. A new term starts with a new one: nothing is carried over. */
 final class Scheduler implements Ledger.Listener {
@@ -14,6 +21,8 @@
   /** Fewer may be machines that have just come up, and went to any node. */
   private static final int HANDED_OVER = 3;
 
+  private final Settings settings;
+  private final Standby standby;
   private final Membership membership;
   private final Ports ports;
   private final Leadership leadership;
@@ -31,8 +40,10 @@
   private long lastPassMicros = Long.MIN_VALUE / 2;
   private long now;
 
-  Scheduler(Settings settings, Ports ports, Replica replica, Leadership leadership, Membership membership, long term,
-      IntUnaryOperator random) {
+  Scheduler(Settings settings, Ports ports, Replica replica, Leadership leadership, Membership membership,
+      Standby standby, long term, IntUnaryOperator random) {
+    this.settings = settings;
+    this.standby = standby;
     this.membership = membership;
     this.ports = ports;
     this.leadership = leadership;
@@ -41,7 +52,7 @@
     this.ledger = new Ledger(settings, ports, replica, term, this);
     this.tokens = new TokenList(settings.tuning().tokenListSize());
     Teams teams = new Teams(settings);
-    this.fleet = new Fleet(settings, ports, replica, leadership, ledger, tokens, teams, term);
+    this.fleet = new Fleet(settings, ports, replica, leadership, ledger, tokens, teams, standby, term);
     Demand demand = new Demand(settings, replica);
     this.placement = new Placement(settings, ports, replica, fleet, tokens, teams, term, demand, random);
     this.renting = new Renting(settings, ports, replica, fleet, leadership, ledger, demand, membership,
@@ -50,6 +61,7 @@
   }
 
   void close() {
+    standby.leaves();
     ledger.close();
     fleet.close();
     renting.close();
@@ -82,7 +94,7 @@
       }
       started = true;
       replica.jobs.values().forEach(Job::forgetPlaces);
-      fleet.takeOver(electedMicros, now);
+      inherit();
       renting.takeOver(now);
     }
     // Passes are due soon after every event: one that is late says that there is more to do than can be done.
@@ -104,8 +116,10 @@
     }
     if (now >= nextSummaryMicros) {
       nextSummaryMicros = now + SUMMARY_EVERY_MICROS;
-      ports.info("leading, term=" + term + ": " + placement.summary(now) + "; " + renting.summary());
+      ports.info("leading, term=" + term + ": " + placement.summary(now) + "; " + renting.summary()
+          + "; standby " + standby.summary());
     }
+    standby.tick(now);
     renting.tick(now);
     if (now >= passDueMicros()) {
       pass();
@@ -113,6 +127,72 @@
     ledger.tick(now);
   }
 
+  /** Begins with what this node holds as the standby of the last term, if all checks hold; else everything is asked. */
+  private void inherit() {
+    Reply.Item record = replica.duties.get(Standby.RECORD);
+    fleet.takeOver(electedMicros,
+        standby.inherit(term, replica.revision(), record == null ? null : record.value()), now);
+    if (record != null || settings.keepsStandby()) {
+      standby.leads(new StandbyHost(), term, settings.keepsStandby() ? settings.peers() : List.of(),
+          record == null ? 0 : record.version());
+    }
+  }
+
+  /** The leader's side of the standby: its picture, the peer link, and the record under the leader key. */
+  private final class StandbyHost implements Standby.Host {
+    @Override
+    public boolean whole() {
+      return fleet.unheard().isEmpty();
+    }
+
+    @Override
+    public void snapshot(Consumer<Batch.Change> each) {
+      fleet.snapshot(each);
+    }
+
+    @Override
+    public void send(String peer, Batch batch, Consumer<Batch.Ack> then) {
+      ports.call(new Request.PeerStandby(peer, batch),
+          reply -> then.accept(reply instanceof Reply.StandbyAck acked ? acked.ack() : null));
+    }
+
+    @Override
+    public void write(long version, Map<String, Object> record, LongConsumer then) {
+      ports.call(new Request.StoreTxn(List.of(new Request.Condition(Records.LEADER, term),
+          new Request.Condition(Standby.RECORD, version)),
+          List.of(new Request.Write(Standby.RECORD, record, 0))), reply -> {
+            if (reply instanceof Reply.Applied applied) {
+              replica.apply(new Reply.Item(Standby.RECORD, record, applied.revision()));
+              then.accept(applied.revision());
+            } else {
+              then.accept(reply instanceof Reply.Refused ? 0 : -1);
+            }
+          });
+    }
+
+    @Override
+    public void read(BiConsumer<Long, Map<String, Object>> then) {
+      ports.call(new Request.StoreGet(Standby.RECORD), reply -> {
+        if (reply instanceof Reply.Found found) {
+          Reply.Item item = found.item();
+          then.accept(item == null ? 0L : item.version(), item == null ? null : item.value());
+        } else {
+          then.accept(-1L, null);
+        }
+      });
+    }
+
+    @Override
+    public void claimed() {
+      leadership.deposed("its standby has claimed the term");
+    }
+
+    @Override
+    public void info(String text) {
+      ports.info(text);
+    }
+  }
+
   /** When the next pass is to be made: soon after something changed, and now and then for what time alone changes. */
   long passDueMicros() {
     return lastPassMicros + (fleet.changed || fleet.owesAnswers() ? PASS_GAP_MICROS : QUIET_PASS_MICROS);
@@ -127,6 +207,7 @@
       placement.place(now);
     }
     fleet.flush(now);
+    standby.tick(now);
   }
 
   @Override
--- /dev/null
+++ b/src/main/java/org/eiderstair/core/standby/Primary.java
@@ -0,0 +1,287 @@
+package org.eiderstair.core.standby;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The leader's side: sends changes to one peer at a time, names it in the record once it has all, and from before that lets a
+ * launch go only after it has been acknowledged.
+ */
+final class Primary {
+  /** Fits well into what a peer takes at once. */
+  private static final int MOST_CHANGES = 400;
+  private static final long HEARTBEAT_MICROS = 300_000;
+  /** Longer than a healthy standby takes, shorter than anyone notices that launches wait. */
+  private static final long SLOW_MICROS = 400_000;
+  private static final long RETRY_MICROS = 2_000_000;
+  private static final long TXN_RETRY_MICROS = 200_000;
+  private static final int MOST_QUEUED = 200_000;
+
+  /**
+   * CLEARING drops the record of an earlier term; launches wait for that, since its standby knows nothing of them. ALONE has
+   * no standby. FILLING sends all that is known; launches are free. ENLISTING holds launches until they are acknowledged, and
+   * writes the record once all before them is. IN_SYNC has it. STRIKING drops the record; all launches wait. ENDED.
+   */
+  enum State { CLEARING, ALONE, FILLING, ENLISTING, IN_SYNC, STRIKING, ENDED }
+
+  private final Standby.Host host;
+  private final long term;
+  private final List<String> peers;
+  private State state;
+  private long now;
+  private int peer;
+  private String run = "";
+  private long fillings;
+  private final ArrayDeque<Batch.Change> queue = new ArrayDeque<>();
+  /** Numbers of the last change made, and of the last that was acknowledged. */
+  private long made;
+  private long acked;
+  private long snapshotEnd;
+  private boolean sending;
+  private long sentMicros;
+  private long nextTryMicros;
+  private boolean writing;
+  private long nextWriteMicros;
+  /** The record's version as this leader knows it; 0 when there is none. */
+  private long recordVersion;
+  private final ArrayDeque<Held> held = new ArrayDeque<>();
+
+  /** Something that launches, and the number that must have been acknowledged before. */
+  private record Held(long number, Runnable launch) {}
+
+  Primary(Standby.Host host, long term, List<String> peers, long recordVersion) {
+    this.host = host;
+    this.term = term;
+    this.peers = peers;
+    this.recordVersion = recordVersion;
+    this.state = recordVersion == 0 ? State.ALONE : State.CLEARING;
+  }
+
+  State state() {
+    return state;
+  }
+
+  String standby() {
+    return state == State.IN_SYNC ? peers.get(peer) : null;
+  }
+
+  /** The one function for every change of state. */
+  private void become(State next, String why) {
+    if (state == State.ENDED) {
+      return;
+    }
+    host.info("standby " + state + " -> " + next + ", term=" + term + ", " + (peers.isEmpty() ? "no peer" : peers.get(peer))
+        + ": " + why);
+    state = next;
+    if (next == State.ALONE) {
+      queue.clear();
+      nextTryMicros = now + RETRY_MICROS;
+      peer = peers.isEmpty() ? 0 : (peer + 1) % peers.size();
+    }
+    if (next == State.ALONE || next == State.FILLING) {
+      release(Long.MAX_VALUE);
+    }
+    if (next == State.ENDED) {
+      held.clear();
+    }
+  }
+
+  void end() {
+    become(State.ENDED, "out of office");
+  }
+
+  /** Whether launches wait for an acknowledgement, or for the record. */
+  private boolean gated() {
+    return switch (state) {
+      case CLEARING, ENLISTING, IN_SYNC, STRIKING -> true;
+      case ALONE, FILLING, ENDED -> false;
+    };
+  }
+
+  void change(Batch.Change change) {
+    if (state == State.FILLING || state == State.ENLISTING || state == State.IN_SYNC) {
+      queue.add(change);
+      made++;
+      if (queue.size() > MOST_QUEUED) {
+        fail("too far behind");
+      }
+    }
+  }
+
+  /** Runs what launches as soon as everything up to now has been acknowledged, or needs not be. */
+  void launch(Runnable launch) {
+    if (state == State.ENDED) {
+      return;
+    }
+    if (gated()) {
+      held.add(new Held(made, launch));
+    } else {
+      launch.run();
+    }
+  }
+
+  private void release(long upTo) {
+    while (!held.isEmpty() && held.peek().number() <= upTo) {
+      held.poll().launch().run();
+    }
+  }
+
+  void tick(long nowMicros) {
+    now = nowMicros;
+    switch (state) {
+      case CLEARING, STRIKING -> drop();
+      case ALONE -> {
+        if (!peers.isEmpty() && now >= nextTryMicros && host.whole()) {
+          fill();
+        }
+      }
+      case FILLING -> {
+        if (acked >= snapshotEnd && made - acked <= MOST_CHANGES) {
+          snapshotEnd = made;
+          become(State.ENLISTING, "has all but " + (made - acked));
+        }
+        send();
+      }
+      case ENLISTING -> {
+        send();
+        if (acked >= snapshotEnd) {
+          enlist();
+        }
+      }
+      case IN_SYNC -> send();
+      case ENDED -> { }
+    }
+  }
+
+  private void fill() {
+    queue.clear();
+    host.snapshot(queue::add);
+    fillings++;
+    acked = 0;
+    made = queue.size();
+    snapshotEnd = made;
+    run = "";
+    sending = false;
+    become(State.FILLING, made + " changes");
+    send();
+  }
+
+  private void send() {
+    if (sending) {
+      if (now > sentMicros + SLOW_MICROS) {
+        fail("no answer for " + (now - sentMicros) / 1000 + " ms");
+      }
+      return;
+    }
+    if (queue.isEmpty() && now < sentMicros + HEARTBEAT_MICROS) {
+      return;
+    }
+    List<Batch.Change> changes = new ArrayList<>(Math.min(queue.size(), MOST_CHANGES));
+    while (changes.size() < MOST_CHANGES && !queue.isEmpty()) {
+      changes.add(queue.poll());
+    }
+    Batch batch = new Batch(term, fillings, acked + 1, acked + changes.size() < snapshotEnd, changes);
+    sending = true;
+    sentMicros = now;
+    long filling = fillings;
+    host.send(peers.get(peer), batch, ack -> answered(filling, batch, ack));
+  }
+
+  private void answered(long filling, Batch batch, Batch.Ack ack) {
+    if (filling != fillings || !(state == State.FILLING || state == State.ENLISTING || state == State.IN_SYNC)) {
+      return;
+    }
+    sending = false;
+    boolean same = ack != null && (run.isEmpty() || run.equals(ack.run()));
+    if (ack == null || !ack.accepted() || !same || ack.upTo() < batch.last()) {
+      fail(ack == null ? "no answer" : same ? "not accepted" : "it was restarted");
+      return;
+    }
+    run = ack.run();
+    acked = batch.last();
+    if (state == State.ENLISTING || state == State.IN_SYNC) {
+      release(acked);
+    }
+  }
+
+  private void fail(String why) {
+    sending = false;
+    if (state == State.FILLING) {
+      become(State.ALONE, why);
+    } else {
+      queue.clear();
+      become(State.STRIKING, why);
+      drop();
+    }
+  }
+
+  private void enlist() {
+    if (writing || now < nextWriteMicros) {
+      return;
+    }
+    writing = true;
+    Map<String, Object> record = new LinkedHashMap<>();
+    record.put("epoch", term);
+    record.put("node", peers.get(peer));
+    record.put("run", run);
+    host.write(recordVersion, record, version -> {
+      writing = false;
+      if (version > 0) {
+        recordVersion = version;
+        if (state == State.ENLISTING) {
+          become(State.IN_SYNC, "named in the record");
+        }
+      } else {
+        nextWriteMicros = now + TXN_RETRY_MICROS;
+        if (version < 0) {
+          reread();
+        }
+      }
+    });
+  }
+
+  /** Drops the record; only then may launches go that no standby has acknowledged. */
+  private void drop() {
+    if (writing || now < nextWriteMicros) {
+      return;
+    }
+    if (recordVersion == 0) {
+      become(State.ALONE, "no record");
+      return;
+    }
+    writing = true;
+    host.write(recordVersion, null, version -> {
+      writing = false;
+      if (version > 0) {
+        recordVersion = 0;
+        become(State.ALONE, "the record is gone");
+      } else {
+        nextWriteMicros = now + TXN_RETRY_MICROS;
+        if (version < 0) {
+          reread();
+        }
+      }
+    });
+  }
+
+  /** A write failed on a version, or its fate is not known. */
+  private void reread() {
+    writing = true;
+    host.read((version, record) -> {
+      writing = false;
+      if (version >= 0) {
+        if (record != null && Boolean.TRUE.equals(record.get("claimed"))) {
+          // The standby has taken this term for over: nothing may be launched any more, whatever the lease says.
+          end();
+          host.claimed();
+          return;
+        }
+        recordVersion = version;
+      }
+      nextWriteMicros = now;
+    });
+  }
+}
--- /dev/null
+++ b/src/main/java/org/eiderstair/core/standby/Standby.java
@@ -0,0 +1,181 @@
+package org.eiderstair.core.standby;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+
+/**
+ * A warm standby: one controller that holds the leader's picture of what may be on every machine, and is named for it in a
+ * record under the leader key. While it is named, a launch leaves only after the standby has acknowledged it; so when the
+ * standby is elected and the record still names it, what it does not hold is nowhere. docs/standby.md has the argument.
+ */
+public final class Standby {
+  /** The record's key. */
+  public static final String RECORD = "e/duty/standby";
+
+  private static final long MISSED_MICROS = 1_500_000;
+
+  /** What the leader's side needs. */
+  public interface Host {
+    /** Whether the leader's own picture is whole: no machine may hold what it does not know. */
+    boolean whole();
+
+    /** All that may be on any machine, and the machines whose session is known. */
+    void snapshot(Consumer<Batch.Change> each);
+
+    /** Sends a batch; null when no answer came. */
+    void send(String peer, Batch batch, Consumer<Batch.Ack> then);
+
+    /**
+     * Writes the record, or drops it when null, if it has that version and this leader's key is there. Told the new version;
+     * 0 when it was certainly not written and may be tried again; -1 when the version differs or its fate is not known.
+     */
+    void write(long version, Map<String, Object> record, LongConsumer then);
+
+    /** Reads the record: its version, 0 when there is none, -1 when that is not known. */
+    void read(BiConsumer<Long, Map<String, Object>> then);
+
+    /** The standby has claimed the term: leave office. */
+    void claimed();
+
+    void info(String text);
+  }
+
+  /** What a new leader must check before it decides on what it holds, in this order; REFUSED asks every machine instead. */
+  public enum Check { ELECTED, CAUGHT_UP, NAMED, WHOLE, REFUSED }
+
+  /** What may be on a machine, by task, and its session; 0 when it is not known. */
+  public record Held(long session, Map<String, Map<Integer, Long>> attempts) {}
+
+  private final String node;
+  private final String run;
+  private final Consumer<String> log;
+  private final Copy copy = new Copy();
+  private Primary primary;
+  private long heardMicros = Long.MIN_VALUE / 2;
+  private Check check = Check.REFUSED;
+
+  public Standby(String node, String run, Consumer<String> log) {
+    this.node = node;
+    this.run = run;
+    this.log = log;
+  }
+
+  // The standby's side.
+
+  /** A batch of the leader's; {@code mayFollow} while this node neither stands nor leads. */
+  public Batch.Ack take(Batch batch, boolean mayFollow, long nowMicros) {
+    boolean accepted = mayFollow && copy.take(batch);
+    if (accepted) {
+      heardMicros = nowMicros;
+    }
+    return new Batch.Ack(run, accepted, accepted ? batch.last() : 0);
+  }
+
+  /** This node stands: nothing of older terms is acknowledged from now on. */
+  public void stands() {
+    copy.freeze();
+  }
+
+  /** Whether the record names this run of this node, for the term whose picture it holds whole. */
+  public boolean named(Map<String, Object> record) {
+    return record != null && node.equals(record.get("node")) && run.equals(record.get("run"))
+        && record.get("epoch") instanceof Number epoch && epoch.longValue() == copy.term()
+        && (copy.state() == Copy.State.FOLLOWING || copy.state() == Copy.State.FROZEN);
+  }
+
+  /** Whether the leader has not been heard for so long that its standby looks for it. */
+  public boolean misses(long nowMicros) {
+    return copy.state() == Copy.State.FOLLOWING && nowMicros > heardMicros + MISSED_MICROS;
+  }
+
+  /** The record with the claim, which its leader can neither drop nor launch beside. */
+  public static Map<String, Object> claim(Map<String, Object> record) {
+    Map<String, Object> claimed = new LinkedHashMap<>(record);
+    claimed.put("claimed", true);
+    return claimed;
+  }
+
+  /** The one function for every change of what was checked. */
+  private void become(Check next, String why) {
+    check = next;
+    log.accept("inherits: " + next + ": " + why);
+  }
+
+  /**
+   * What this node inherits as the leader of a new term, by machine; null when a check fails, and every machine must be asked.
+   *
+   * @param record as of this term's beginning
+   */
+  public Map<String, Held> inherit(long term, long revision, Map<String, Object> record) {
+    become(Check.ELECTED, "term=" + term);
+    if (revision < term) {
+      become(Check.REFUSED, "its keys are of revision " + revision);
+      return null;
+    }
+    become(Check.CAUGHT_UP, "revision " + revision);
+    if (record == null || !node.equals(record.get("node")) || !run.equals(record.get("run"))) {
+      become(Check.REFUSED, record == null ? "no standby was in sync" : "the record names " + record.get("node"));
+      return null;
+    }
+    become(Check.NAMED, "by term " + record.get("epoch"));
+    if (!named(record)) {
+      become(Check.REFUSED, "its picture is " + copy.state() + " of term " + copy.term());
+      return null;
+    }
+    become(Check.WHOLE, copy.machines().size() + " machines");
+    Map<String, Held> all = new LinkedHashMap<>();
+    copy.machines().forEach((machine, held) -> {
+      Map<String, Map<Integer, Long>> attempts = new LinkedHashMap<>();
+      held.attempts.forEach((task, attempt) ->
+          attempts.computeIfAbsent(task.job(), j -> new LinkedHashMap<>()).put(task.index(), attempt));
+      all.put(machine, new Held(held.session, attempts));
+    });
+    copy.forget();
+    return all;
+  }
+
+  // The leader's side.
+
+  /** @param recordVersion of the record as it was when the term began; 0 when there was none */
+  public void leads(Host host, long term, List<String> peers, long recordVersion) {
+    primary = new Primary(host, term, peers, recordVersion);
+  }
+
+  public void leaves() {
+    if (primary != null) {
+      primary.end();
+      primary = null;
+    }
+  }
+
+  public void change(Batch.Change change) {
+    if (primary != null) {
+      primary.change(change);
+    }
+  }
+
+  /** Runs what launches once the standby in sync has acknowledged all changes made so far; at once when there is none. */
+  public void launch(Runnable launch) {
+    if (primary != null) {
+      primary.launch(launch);
+    } else {
+      launch.run();
+    }
+  }
+
+  public void tick(long nowMicros) {
+    if (primary != null) {
+      primary.tick(nowMicros);
+    }
+  }
+
+  /** For the leader's line: who is in sync. */
+  public String summary() {
+    return primary == null ? "off" : primary.standby() == null ? primary.state().toString()
+        : primary.standby() + " in sync";
+  }
+}
--- a/src/main/java/org/eiderstair/http/Inbound.java
+++ b/src/main/java/org/eiderstair/http/Inbound.java
@@ -111,6 +111,9 @@
         with(exchange, method, "GET", body, (id, b) -> events.accept(new Event.PeerAsked(id)));
       } else if (path.equals(PeerMessages.HEARD_PATH)) {
         with(exchange, method, "POST", body, (id, b) -> events.accept(PeerMessages.heardAsked(id, b)));
+      } else if (path.equals(PeerMessages.STANDBY_PATH)) {
+        with(exchange, method, "POST", body, (id, b) ->
+            events.accept(new Event.StandbyTold(id, PeerMessages.standby(b))));
       } else if (path.equals(PeerMessages.RELAY_PATH)) {
         with(exchange, method, "POST", body, (id, b) ->
             events.accept(new Event.Reported(id, PeerMessages.report(b), true)));
@@ -174,6 +177,8 @@
       write(to, 200, PeerMessages.standing(standing));
     } else if (answer instanceof Answer.Heard heard) {
       write(to, 200, PeerMessages.heard(heard.hearing()));
+    } else if (answer instanceof Answer.StandbyAck acked) {
+      write(to, 200, PeerMessages.standbyAck(acked.ack()));
     } else if (exchange.ofPeer()) {
       write(to, 200, PeerMessages.answer(answer));
     } else if (answer instanceof Answer.JobView view) {
--- a/src/main/java/org/eiderstair/http/Outbound.java
+++ b/src/main/java/org/eiderstair/http/Outbound.java
@@ -141,6 +141,9 @@
     } else if (request instanceof Request.PeerHeard heard) {
       peer(call, heard.peer(), POST, PeerMessages.HEARD_PATH, PeerMessages.heardAsk(heard.run(), heard.after()),
           PeerMessages::heard);
+    } else if (request instanceof Request.PeerStandby told) {
+      peer(call, told.peer(), POST, PeerMessages.STANDBY_PATH, PeerMessages.standby(told.batch()),
+          PeerMessages::standbyAck);
     } else {
       throw new IllegalArgumentException("no way to send " + request);
     }
--- a/src/main/java/org/eiderstair/peer/PeerMessages.java
+++ b/src/main/java/org/eiderstair/peer/PeerMessages.java
@@ -12,9 +12,13 @@
 import org.eiderstair.core.Reply;
 import org.eiderstair.core.TaskId;
 import org.eiderstair.core.member.Hearing;
+import org.eiderstair.core.standby.Batch;
 import org.eiderstair.peer.wire.HeardAsk;
 import org.eiderstair.peer.wire.HeardChange;
 import org.eiderstair.peer.wire.HeardTold;
+import org.eiderstair.peer.wire.StandbyAck;
+import org.eiderstair.peer.wire.StandbyBatch;
+import org.eiderstair.peer.wire.StandbyChange;
 import org.eiderstair.peer.wire.PeerStanding;
 import org.eiderstair.peer.wire.RelayedAnswer;
 import org.eiderstair.peer.wire.RelayedExit;
@@ -32,6 +36,7 @@
 public final class PeerMessages {
   public static final String RELAY_PATH = "/peer/relay";
   public static final String HEARD_PATH = "/peer/heard";
+  public static final String STANDBY_PATH = "/peer/standby";
   public static final String STANDING_PATH = "/peer/standing";
   public static final int MOST_BYTES = 128 * 1024;
 
@@ -173,6 +178,50 @@
     }
   }
 
+  public static byte[] standby(Batch batch) {
+    List<StandbyChange> changes = new ArrayList<>(batch.changes().size());
+    for (Batch.Change c : batch.changes()) {
+      changes.add(new StandbyChange(c.there(), c.machine(), c.session(), c.job(), c.index(), c.attempt()));
+    }
+    try {
+      return bytes(StandbyBatch.getEncoder().encode(
+          new StandbyBatch(batch.term(), batch.filling(), batch.first(), batch.more(), changes)));
+    } catch (IOException e) {
+      throw new IllegalStateException("encoding to memory failed", e);
+    }
+  }
+
+  public static Batch standby(byte[] bytes) throws Malformed {
+    try {
+      StandbyBatch b = StandbyBatch.getDecoder().decode(bytes);
+      List<Batch.Change> changes = new ArrayList<>(b.getChanges().size());
+      for (StandbyChange c : b.getChanges()) {
+        changes.add(new Batch.Change(c.getThere(), c.getMachine(), c.getSession(), c.getJob(), c.getIndex(),
+            c.getAttempt()));
+      }
+      return new Batch(b.getTerm(), b.getFilling(), b.getFirst(), b.getMore(), changes);
+    } catch (IOException | AvroRuntimeException | IndexOutOfBoundsException e) {
+      throw new Malformed("not changes for a standby: " + e.getMessage());
+    }
+  }
+
+  public static byte[] standbyAck(Batch.Ack ack) {
+    try {
+      return bytes(StandbyAck.getEncoder().encode(new StandbyAck(ack.run(), ack.accepted(), ack.upTo())));
+    } catch (IOException e) {
+      throw new IllegalStateException("encoding to memory failed", e);
+    }
+  }
+
+  public static Reply.StandbyAck standbyAck(byte[] bytes) throws Malformed {
+    try {
+      StandbyAck a = StandbyAck.getDecoder().decode(bytes);
+      return new Reply.StandbyAck(new Batch.Ack(a.getRun(), a.getAccepted(), a.getUpTo()));
+    } catch (IOException | AvroRuntimeException | IndexOutOfBoundsException e) {
+      throw new Malformed("not a standby's answer: " + e.getMessage());
+    }
+  }
+
   private static byte[] bytes(ByteBuffer buffer) {
     byte[] bytes = new byte[buffer.remaining()];
     buffer.get(bytes);
