--- a/src/main/java/org/eiderstair/core/Renting.java
+++ b/src/main/java/org/eiderstair/core/Renting.java
@@ -115,7 +115,7 @@
     if (now >= nextDecideMicros) {
       nextDecideMicros = now + DECIDE_EVERY_MICROS;
       retire();
-      if (!replica.catalog().isEmpty()) {
+      if (!replica.catalog().isEmpty() && membership.begun(now)) {
         balance();
       }
     }
--- a/src/main/java/org/eiderstair/core/Scheduler.java
+++ b/src/main/java/org/eiderstair/core/Scheduler.java
@@ -57,7 +57,6 @@
     this.placement = new Placement(settings, ports, replica, fleet, tokens, teams, term, demand, random);
     this.renting = new Renting(settings, ports, replica, fleet, leadership, ledger, demand, membership,
         term);
-    membership.forgetZones();
   }
 
   void close() {
@@ -96,6 +95,7 @@
       replica.jobs.values().forEach(Job::forgetPlaces);
       inherit();
       renting.takeOver(now);
+      membership.begin(now);
     }
     // Passes are due soon after every event: one that is late says that there is more to do than can be done.
     fleet.tick(now, now > passDueMicros() + BUSY_MICROS);
--- a/src/main/java/org/eiderstair/core/member/Membership.java
+++ b/src/main/java/org/eiderstair/core/member/Membership.java
@@ -66,6 +66,8 @@
   private final Map<String, Integer> heardBy = new HashMap<>();
   /** Zones that nobody sees, and since when. */
   private final Map<String, Long> darkZones = new HashMap<>();
+  private long beganMicros;
+  private boolean beginning;
   private long now;
 
   /**
@@ -84,9 +86,30 @@
     peers.forEach(p -> this.peers.put(p, new Peer()));
   }
 
-  /** A new term judges anew. */
-  public void forgetZones() {
+  /** A new term judges anew: it asks all peers, so that it knows which zones it sees before it decides anything on them. */
+  public void begin(long nowMicros) {
     darkZones.clear();
+    beganMicros = nowMicros;
+    beginning = true;
+  }
+
+  /** Whether peers have answered since the term began, or could have. */
+  public boolean begun(long nowMicros) {
+    return !beginning && nowMicros >= beganMicros;
+  }
+
+  /** Seen on the bench: a leader that took over during a zone's cut rented 125 machines there, in its first tenth of a second. */
+  private void endOfBeginning() {
+    if (mayYetTell(beganMicros) && now < beganMicros + ANSWER_MICROS) {
+      return;
+    }
+    beginning = false;
+    boolean someAnswer = peers.values().stream().anyMatch(p -> p.state != PeerState.UNKNOWN);
+    for (String zone : new HashSet<>(nodeZones.values())) {
+      if (someAnswer && !zone.isEmpty() && !reached(zone)) {
+        become(zone, ZoneState.DARK, "none of its controllers answers");
+      }
+    }
   }
 
   /** A machine has reported to this node, not through a peer. */
@@ -107,10 +130,13 @@
       if (p.state == PeerState.TOLD && now > p.toldMicros + LIVE_MICROS) {
         become(p, PeerState.UNKNOWN);
       }
-      if ((missed || !darkZones.isEmpty()) && !p.asking && now >= p.nextAskMicros) {
+      if ((missed || beginning || !darkZones.isEmpty()) && !p.asking && now >= p.nextAskMicros) {
         ask(e.getKey(), p);
       }
     }
+    if (beginning) {
+      endOfBeginning();
+    }
   }
 
   private void ask(String name, Peer p) {
--- a/src/test/java/org/eiderstair/core/member/MembershipTest.java
+++ b/src/test/java/org/eiderstair/core/member/MembershipTest.java
@@ -151,6 +151,23 @@
     assertTrue(leader.heardElsewhere("b0") && leader.heardElsewhere("b1"));
   }
 
+  /** Its machines may all have been given back by the leader before: then only its controllers can tell of a zone. */
+  @Example
+  void aNewTermAsksBeforeItDecidesOnZones() {
+    leader.begin(SECOND);
+    leader.tick(false, SECOND);
+    assertFalse(leader.begun(SECOND));
+    answer(node("n2", "p"), "n2", SECOND + 10_000);
+    leader.tick(false, SECOND + 100_000);
+    assertFalse(leader.begun(SECOND + 100_000), "n1 may yet answer");
+    leader.tick(false, 3 * SECOND);
+    assertTrue(leader.begun(3 * SECOND));
+    assertTrue(leader.isDark("b"));
+    assertFalse(leader.isDark("a") || leader.isDark("c"));
+    leader.survey(machines(1, "b", 4 * SECOND), PATIENCE, PATIENCE, 4 * SECOND);
+    assertFalse(leader.isDark("b"), "one of its machines is heard");
+  }
+
   @Example
   void whenMostAreSilentTheFaultIsLikelyOurs() {
     List<Known> all = machines(8, "a", 9 * SECOND);
--- /dev/null
+++ b/src/test/java/org/eiderstair/core/standby/StandbyTest.java
@@ -0,0 +1,440 @@
+package org.eiderstair.core.standby;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+import net.jqwik.api.Example;
+
+/**
+ * The record, the acknowledgements and the election, in every order: whoever inherits a picture inherits all that was ever
+ * launched and may still be somewhere.
+ */
+class StandbyTest {
+  private static final int LAUNCHES = 3;
+  private static final int MOST_STEPS = 16;
+
+  /** Two or three nodes, a state service, and messages that wait until they are chosen; all of it made anew for each path. */
+  private static final class World {
+    final List<String> broken = new ArrayList<>();
+    final List<Runnable> messages = new ArrayList<>();
+    final List<String> names = new ArrayList<>();
+    long revision;
+    String leader;
+    long leaderTerm;
+    Map<String, Object> record;
+    long recordVersion;
+    final Set<String> launched = new HashSet<>();
+    final Node[] nodes = {new Node(this, "a"), new Node(this, "b")};
+    int launches;
+    int elections;
+    int restarts;
+
+    void send(String name, Runnable deliver) {
+      names.add(name);
+      messages.add(deliver);
+    }
+
+    Node node(String name) {
+      return nodes["ab".indexOf(name)];
+    }
+
+    /** What can happen next, each by its name. */
+    TreeMap<String, Runnable> choices() {
+      TreeMap<String, Runnable> all = new TreeMap<>();
+      for (int i = 0; i < messages.size(); i++) {
+        int index = i;
+        String name = names.get(i);
+        all.putIfAbsent("deliver " + name, () -> {
+          names.remove(index);
+          messages.remove(index).run();
+        });
+        if (name.startsWith("batch")) {
+          all.putIfAbsent("lose " + name, () -> {
+            names.remove(index);
+            messages.remove(index);
+          });
+        }
+      }
+      for (Node n : nodes) {
+        if (n.term > 0 && launches < LAUNCHES) {
+          all.put("launch by " + n.name, () -> n.launch("t" + ++launches));
+        }
+        if (n.term > 0) {
+          all.put("slow at " + n.name, () -> n.tick(500_000));
+        }
+        if (n.term == 0 && elections < 3) {
+          // The lease of another has run out, by which that one has stopped; or a claim has ended it, of which it knows nothing.
+          all.put("elect " + n.name, () -> {
+            if (leader != null) {
+              node(leader).authority = false;
+            }
+            n.elected();
+          });
+        }
+        if (n.term == 0 && leader != null && elections < 3) {
+          all.put("claim by " + n.name, n::claim);
+        }
+        if (restarts < 1) {
+          all.put("restart " + n.name, n::restart);
+        }
+      }
+      return all;
+    }
+
+    String state() {
+      StringBuilder s = new StringBuilder();
+      s.append(leader).append(leaderTerm).append(record).append(new TreeMap<>(Map.of("l", launched))).append(launches)
+          .append(elections).append(restarts).append(new java.util.TreeSet<>(names));
+      for (Node n : nodes) {
+        s.append('|').append(n.term).append(n.run).append(n.standby.summary()).append(n.known).append(n.held())
+            .append(n.stands).append(n.authority);
+      }
+      return s.toString();
+    }
+  }
+
+  private static final class Node implements Standby.Host {
+    final World world;
+    final String name;
+    int runs = 1;
+    String run;
+    Standby standby;
+    long term;
+    long now;
+    boolean stands;
+    /** Whether its own clock still allows it to launch. */
+    boolean authority;
+    /** What this node knows may be somewhere, while it leads. */
+    final Set<String> known = new HashSet<>();
+
+    Node(World world, String name) {
+      this.world = world;
+      this.name = name;
+      begin();
+    }
+
+    private void begin() {
+      run = name + runs;
+      standby = new Standby(name, run, text -> { });
+      term = 0;
+      known.clear();
+      stands = false;
+    }
+
+    void restart() {
+      world.restarts++;
+      runs++;
+      begin();
+    }
+
+    String held() {
+      return standby.named(world.record) ? "named" : "";
+    }
+
+    void elected() {
+      world.elections++;
+      standby.stands();
+      authority = true;
+      world.leader = name;
+      world.leaderTerm = ++world.revision;
+      term = world.leaderTerm;
+      Map<String, Standby.Held> inherited = standby.inherit(term, world.revision, world.record);
+      known.clear();
+      if (inherited != null) {
+        inherited.values().forEach(h -> known.addAll(h.attempts().keySet()));
+        if (!known.containsAll(world.launched)) {
+          world.broken.add(name + " inherited " + known + " of " + world.launched);
+        }
+      } else {
+        // Every machine is asked, and fenced.
+        known.addAll(world.launched);
+      }
+      standby.leads(this, term, List.of(name.equals("a") ? "b" : "a"), world.record == null ? 0 : world.recordVersion);
+      tick(10_000_000);
+    }
+
+    void claim() {
+      if (world.record != null && standby.named(world.record)
+          && Long.valueOf(world.leaderTerm).equals(world.record.get("epoch"))) {
+        standby.stands();
+        world.record = Standby.claim(world.record);
+        world.recordVersion = ++world.revision;
+        // Its lease is ended; whoever is elected next, the old leader's clock still allows it everything.
+        world.leader = null;
+      }
+    }
+
+    void launch(String task) {
+      long ofTerm = term;
+      String ofRun = run;
+      known.add(task);
+      standby.change(new Batch.Change(true, "m", 1, task, 0, ofTerm));
+      standby.launch(() -> {
+        if (run.equals(ofRun) && authority) {
+          world.launched.add(task);
+          Node latest = world.leader == null ? null : world.node(world.leader);
+          if (latest != null && latest != this && !latest.known.contains(task)) {
+            world.broken.add(name + " launched " + task + " that the leader " + latest.name + " does not know");
+          }
+        }
+      });
+      tick(0);
+    }
+
+    void tick(long micros) {
+      now += micros;
+      standby.tick(now);
+    }
+
+    @Override
+    public boolean whole() {
+      return true;
+    }
+
+    @Override
+    public void snapshot(Consumer<Batch.Change> each) {
+      known.forEach(t -> each.accept(new Batch.Change(true, "m", 1, t, 0, 1)));
+    }
+
+    @Override
+    public void send(String peer, Batch batch, Consumer<Batch.Ack> then) {
+      String ofRun = run;
+      world.send("batch " + name + batch.term() + "." + batch.filling() + "." + batch.first() + "+"
+          + batch.changes().size(), () -> {
+            Node to = world.node(peer);
+            Batch.Ack ack = to.standby.take(batch, to.term == 0, 0);
+            world.send("ack " + name + batch.term() + "." + batch.filling() + "." + batch.first() + ack.accepted(), () -> {
+              if (run.equals(ofRun)) {
+                then.accept(ack);
+                tick(1);
+              }
+            });
+          });
+    }
+
+    @Override
+    public void write(long version, Map<String, Object> value, LongConsumer then) {
+      String ofRun = run;
+      long ofTerm = term;
+      world.send("write " + name + ofTerm + (value == null ? "drop" : "put") + version, () -> {
+        boolean holds = name.equals(world.leader) && world.leaderTerm == ofTerm
+            && (world.record == null ? 0 : world.recordVersion) == version;
+        if (holds) {
+          world.record = value == null ? null : new LinkedHashMap<>(value);
+          world.recordVersion = ++world.revision;
+        }
+        long result = holds ? world.recordVersion : -1;
+        world.send("written " + name + ofTerm, () -> {
+          if (run.equals(ofRun)) {
+            then.accept(result);
+            tick(200_000);
+          }
+        });
+      });
+    }
+
+    @Override
+    public void read(BiConsumer<Long, Map<String, Object>> then) {
+      String ofRun = run;
+      long ofTerm = term;
+      world.send("read " + name + ofTerm, () -> {
+        long version = world.record == null ? 0 : world.recordVersion;
+        Map<String, Object> value = world.record;
+        world.send("found " + name + ofTerm, () -> {
+          if (run.equals(ofRun)) {
+            then.accept(version, value);
+            tick(200_000);
+          }
+        });
+      });
+    }
+
+    @Override
+    public void claimed() {
+      standby.leaves();
+      term = 0;
+    }
+
+    @Override
+    public void info(String text) { }
+  }
+
+  private static World replay(List<String> path) {
+    World world = new World();
+    for (String choice : path) {
+      world.choices().get(choice).run();
+    }
+    return world;
+  }
+
+  /** All orders, with loss and repeats, of two nodes, three launches, three elections and a restart. */
+  @Example
+  void everyOrderOfASmallCase() {
+    ArrayDeque<List<String>> open = new ArrayDeque<>();
+    Set<String> seen = new HashSet<>();
+    open.add(List.of());
+    int inSync = 0;
+    while (!open.isEmpty()) {
+      List<String> path = open.poll();
+      World world = replay(path);
+      assertEquals(List.of(), world.broken, () -> String.join("\n", path));
+      inSync += world.nodes[0].standby.summary().endsWith("in sync") ? 1 : 0;
+      if (path.size() == MOST_STEPS || !seen.add(world.state())) {
+        continue;
+      }
+      if (seen.size() > MOST_STATES) {
+        break;
+      }
+      for (String choice : world.choices().keySet()) {
+        List<String> next = new ArrayList<>(path);
+        next.add(choice);
+        open.add(next);
+      }
+    }
+    assertTrue(seen.size() > 10_000, "states " + seen.size());
+    assertTrue(inSync > 100, "in sync " + inSync);
+  }
+
+  private static final int MOST_STATES = Integer.getInteger("standby.states", 40_000);
+
+  private final Copy copy = new Copy();
+
+  private static Batch batch(long term, long filling, long first, boolean more, Batch.Change... changes) {
+    return new Batch(term, filling, first, more, List.of(changes));
+  }
+
+  private static Batch.Change there(String job) {
+    return new Batch.Change(true, "m", 1, job, 0, 5);
+  }
+
+  @Example
+  void aGapIsNotFollowedAndARepeatChangesNothing() {
+    assertTrue(copy.take(batch(3, 1, 1, true, there("a"), there("b"))));
+    assertEquals(Copy.State.FILLING, copy.state());
+    assertTrue(copy.take(batch(3, 1, 3, false, there("c"))));
+    assertEquals(Copy.State.FOLLOWING, copy.state());
+    assertTrue(copy.take(batch(3, 1, 1, true, there("a"), there("b"))), "late copy");
+    assertEquals(3, copy.machines().get("m").attempts.size());
+    assertEquals(Copy.State.FOLLOWING, copy.state());
+    assertFalse(copy.take(batch(3, 1, 5, false, there("e"))));
+    assertEquals(Copy.State.EMPTY, copy.state());
+    assertFalse(copy.take(batch(3, 1, 1, false, there("a"))), "an earlier filling");
+    assertTrue(copy.take(batch(3, 2, 1, false)));
+    assertEquals(Copy.State.FOLLOWING, copy.state());
+    assertFalse(copy.take(batch(2, 9, 1, false)), "an earlier term");
+  }
+
+  @Example
+  void aNodeThatStandsAcknowledgesNothingOfOlderTerms() {
+    assertTrue(copy.take(batch(3, 1, 1, false, there("a"))));
+    copy.freeze();
+    assertFalse(copy.take(batch(3, 1, 2, false, there("b"))));
+    assertEquals(1, copy.machines().get("m").attempts.size());
+    assertTrue(copy.take(batch(4, 1, 1, false)), "another was elected");
+  }
+
+  /** 1,600 machines with 100,000 tasks in pages, mixed with changes. */
+  @Example
+  void aLargePictureInPagesWithChangesBetween() {
+    Standby standby = new Standby("b", "b1", text -> { });
+    Map<String, Map<String, Long>> truth = new HashMap<>();
+    List<Batch> batches = new ArrayList<>();
+    List<Consumer<Batch.Ack>> acks = new ArrayList<>();
+    Standby leader = new Standby("a", "a1", text -> { });
+    for (int i = 0; i < 100_000; i++) {
+      truth.computeIfAbsent("m" + i % 1600, m -> new HashMap<>()).put("job-" + i, (long) i);
+    }
+    leader.leads(new Standby.Host() {
+      @Override
+      public boolean whole() {
+        return true;
+      }
+
+      @Override
+      public void snapshot(Consumer<Batch.Change> each) {
+        truth.forEach((m, jobs) -> jobs.forEach((j, a) -> each.accept(new Batch.Change(true, m, 1, j, 0, a))));
+      }
+
+      @Override
+      public void send(String peer, Batch batch, Consumer<Batch.Ack> then) {
+        batches.add(batch);
+        acks.add(then);
+      }
+
+      @Override
+      public void write(long version, Map<String, Object> record, LongConsumer then) {
+        then.accept(7);
+      }
+
+      @Override
+      public void read(BiConsumer<Long, Map<String, Object>> then) { }
+
+      @Override
+      public void claimed() { }
+
+      @Override
+      public void info(String text) { }
+    }, 3, List.of("b"), 0);
+    long now = 10_000_000;
+    leader.tick(now);
+    for (int i = 0; !leader.summary().endsWith("in sync"); i++) {
+      assertTrue(i < 1000, leader.summary());
+      assertTrue(batches.get(0).changes().size() <= 400);
+      Batch.Ack ack = standby.take(batches.remove(0), true, now);
+      String machine = "m" + i % 1600;
+      truth.get(machine).put("new-" + i, 9L);
+      leader.change(new Batch.Change(true, machine, 1, "new-" + i, 0, 9));
+      Long gone = truth.get(machine).remove("job-" + i % 1600);
+      if (gone != null) {
+        leader.change(new Batch.Change(false, machine, 1, "job-" + i % 1600, 0, gone));
+      }
+      acks.remove(0).accept(ack);
+      leader.tick(++now);
+    }
+    while (!batches.isEmpty()) {
+      Batch.Ack ack = standby.take(batches.remove(0), true, now);
+      acks.remove(0).accept(ack);
+      leader.tick(++now);
+    }
+    standby.stands();
+    Map<String, Object> record = Map.of("node", "b", "run", "b1", "epoch", 3L);
+    Map<String, Standby.Held> held = standby.inherit(9, 9, record);
+    assertNotNull(held);
+    truth.forEach((machine, jobs) -> assertEquals(jobs.keySet(), held.get(machine).attempts().keySet(), machine));
+    assertNull(standby.inherit(10, 10, record), "once");
+  }
+
+  @Example
+  void eachCheckRefuses() {
+    List<String> said = new ArrayList<>();
+    Standby standby = new Standby("b", "b1", said::add);
+    Map<String, Object> record = new LinkedHashMap<>(Map.of("node", "b", "run", "b1", "epoch", 3L));
+    assertNull(standby.inherit(5, 5, record), "no picture");
+    standby.take(batch(3, 1, 1, true, there("a")), true, 1);
+    standby.stands();
+    assertNull(standby.inherit(5, 5, record), "not whole");
+    standby.take(batch(3, 2, 1, false, there("a")), true, 1);
+    assertNull(standby.inherit(5, 4, record), "keys are old");
+    assertNull(standby.inherit(5, 5, null), "struck");
+    assertNull(standby.inherit(5, 5, Map.of("node", "b", "run", "b0", "epoch", 3L)), "an earlier run");
+    assertNull(standby.inherit(5, 5, Map.of("node", "c", "run", "b1", "epoch", 3L)), "another");
+    assertNull(standby.inherit(5, 5, Map.of("node", "b", "run", "b1", "epoch", 2L)), "another term");
+    assertEquals(Set.of("m"), standby.inherit(5, 5, record).keySet());
+    assertTrue(said.get(said.size() - 1).contains("WHOLE"));
+  }
+}
