--- a/src/test/java/org/eiderstair/core/standby/StandbyTest.java
+++ b/src/test/java/org/eiderstair/core/standby/StandbyTest.java
@@ -174,8 +174,13 @@
         standby.stands();
         world.record = Standby.claim(world.record);
         world.recordVersion = ++world.revision;
-        // Its lease is ended; whoever is elected next, the old leader's clock still allows it everything.
-        world.leader = null;
+        // Its lease is ended soon; whoever is elected next, the old leader's clock still allows it everything.
+        long claimed = world.leaderTerm;
+        world.send("end lease " + claimed, () -> {
+          if (world.leaderTerm == claimed) {
+            world.leader = null;
+          }
+        });
       }
     }
 
@@ -419,6 +424,20 @@
     assertNull(standby.inherit(10, 10, record), "once");
   }
 
+  /** Seen on the bench: with nothing to tell, the record was written before any answer, and named no run. */
+  @Example
+  void nobodyIsNamedBeforeItHasAnswered() {
+    World world = new World();
+    world.nodes[0].elected();
+    world.nodes[0].tick(100_000);
+    assertEquals(1, world.messages.size(), "a batch, no record: " + world.names);
+    while (world.record == null) {
+      world.names.remove(0);
+      world.messages.remove(0).run();
+    }
+    assertEquals("b1", world.record.get("run"));
+  }
+
   @Example
   void eachCheckRefuses() {
     List<String> said = new ArrayList<>();
@@ -432,6 +451,8 @@
     assertNull(standby.inherit(5, 4, record), "keys are old");
     assertNull(standby.inherit(5, 5, null), "struck");
     assertNull(standby.inherit(5, 5, Map.of("node", "b", "run", "b0", "epoch", 3L)), "an earlier run");
+    assertFalse(standby.named(Map.of("node", "b", "run", "b0", "epoch", 3L)), "an earlier run");
+    assertTrue(standby.named(record));
     assertNull(standby.inherit(5, 5, Map.of("node", "c", "run", "b1", "epoch", 3L)), "another");
     assertNull(standby.inherit(5, 5, Map.of("node", "b", "run", "b1", "epoch", 2L)), "another term");
     assertEquals(Set.of("m"), standby.inherit(5, 5, record).keySet());
