--- a/src/main/java/org/eiderstair/core/Core.java
+++ b/src/main/java/org/eiderstair/core/Core.java
@@ -197,7 +197,7 @@
   @Override
   public boolean anotherInSync() {
     Reply.Item record = replica.duties.get(Standby.RECORD);
-    return record != null && !standby.named(record.value());
+    return record != null && Standby.names(record.value()) && !standby.named(record.value());
   }
 
   public boolean leads() {
--- a/src/main/java/org/eiderstair/core/standby/Primary.java
+++ b/src/main/java/org/eiderstair/core/standby/Primary.java
@@ -21,9 +21,10 @@
   private static final int MOST_QUEUED = 200_000;
 
   /**
-   * CLEARING drops the record of an earlier term; launches wait for that, since its standby knows nothing of them. ALONE has
+   * CLEARING takes the name out of the record of an earlier term; launches wait for that, since its standby knows nothing of them. ALONE has
    * no standby. FILLING sends all that is known; launches are free. ENLISTING holds launches until they are acknowledged, and
-   * writes the record once all before them is. IN_SYNC has it. STRIKING drops the record; all launches wait. ENDED.
+   * writes the record once all before them is. IN_SYNC has it. STRIKING takes the name
+   * out; all launches wait. ENDED.
    */
   enum State { CLEARING, ALONE, FILLING, ENLISTING, IN_SYNC, STRIKING, ENDED }
 
@@ -132,7 +133,7 @@
   void tick(long nowMicros) {
     now = nowMicros;
     switch (state) {
-      case CLEARING, STRIKING -> drop();
+      case CLEARING, STRIKING -> strike();
       case ALONE -> {
         if (!peers.isEmpty() && now >= nextTryMicros && host.whole()) {
           fill();
@@ -216,7 +217,7 @@
     } else {
       queue.clear();
       become(State.STRIKING, why);
-      drop();
+      strike();
     }
   }
 
@@ -245,21 +246,24 @@
     });
   }
 
-  /** Drops the record; only then may launches go that no standby has acknowledged. */
-  private void drop() {
+  /**
+   * Writes a record that names nobody; only then may launches go that no standby has acknowledged. Found by the search of
+   * small cases: that the record is not there proves nothing, since a newer leader may have dropped it, or a write of this
+   * leader that names a standby may yet arrive. A newer version, under this leader's key, makes both fail.
+   */
+  private void strike() {
     if (writing || now < nextWriteMicros) {
       return;
     }
-    if (recordVersion == 0) {
-      become(State.ALONE, "no record");
-      return;
-    }
     writing = true;
-    host.write(recordVersion, null, version -> {
+    Map<String, Object> nobody = new LinkedHashMap<>();
+    nobody.put("epoch", term);
+    nobody.put("node", "");
+    host.write(recordVersion, nobody, version -> {
       writing = false;
       if (version > 0) {
-        recordVersion = 0;
-        become(State.ALONE, "the record is gone");
+        recordVersion = version;
+        become(State.ALONE, "the record names nobody");
       } else {
         nextWriteMicros = now + TXN_RETRY_MICROS;
         if (version < 0) {
--- a/src/main/java/org/eiderstair/core/standby/Standby.java
+++ b/src/main/java/org/eiderstair/core/standby/Standby.java
@@ -30,7 +30,7 @@
     void send(String peer, Batch batch, Consumer<Batch.Ack> then);
 
     /**
-     * Writes the record, or drops it when null, if it has that version and this leader's key is there. Told the new version;
+     * Writes the record if it has that version and this leader's key is there. Told the new version;
      * 0 when it was certainly not written and may be tried again; -1 when the version differs or its fate is not known.
      */
     void write(long version, Map<String, Object> record, LongConsumer then);
@@ -87,6 +87,11 @@
         && (copy.state() == Copy.State.FOLLOWING || copy.state() == Copy.State.FROZEN);
   }
 
+  /** Whether the record names any standby. */
+  public static boolean names(Map<String, Object> record) {
+    return record != null && record.get("node") instanceof String name && !name.isEmpty();
+  }
+
   /** Whether the leader has not been heard for so long that its standby looks for it. */
   public boolean misses(long nowMicros) {
     return copy.state() == Copy.State.FOLLOWING && nowMicros > heardMicros + MISSED_MICROS;
@@ -118,7 +123,7 @@
     }
     become(Check.CAUGHT_UP, "revision " + revision);
     if (record == null || !node.equals(record.get("node")) || !run.equals(record.get("run"))) {
-      become(Check.REFUSED, record == null ? "no standby was in sync" : "the record names " + record.get("node"));
+      become(Check.REFUSED, names(record) ? "the record names " + record.get("node") : "no standby was in sync");
       return null;
     }
     become(Check.NAMED, "by term " + record.get("epoch"));
