--- a/src/main/java/org/eiderstair/core/standby/Primary.java
+++ b/src/main/java/org/eiderstair/core/standby/Primary.java
@@ -21,9 +21,10 @@
   private static final int MOST_QUEUED = 200_000;
 
   /**
-   * CLEARING drops the record of an earlier term; launches wait for that, since its standby knows nothing of them. ALONE has
+   * CLEARING takes the name out of the record of an earlier term; launches wait for that, since its standby knows nothing of them. ALONE has
    * no standby. FILLING sends all that is known; launches are free. ENLISTING holds launches until they are acknowledged, and
-   * writes the record once all before them is. IN_SYNC has it. STRIKING drops the record; all launches wait. ENDED.
+   * writes the record once all before them is. IN_SYNC has it. STRIKING takes the name
+   * out; all launches wait. ENDED.
    */
   enum State { CLEARING, ALONE, FILLING, ENLISTING, IN_SYNC, STRIKING, ENDED }
 
@@ -132,14 +133,16 @@
   void tick(long nowMicros) {
     now = nowMicros;
     switch (state) {
-      case CLEARING, STRIKING -> drop();
+      case CLEARING, STRIKING -> strike();
       case ALONE -> {
         if (!peers.isEmpty() && now >= nextTryMicros && host.whole()) {
           fill();
         }
       }
       case FILLING -> {
-        if (acked >= snapshotEnd && made - acked <= MOST_CHANGES) {
+        // An answer first, even where there is nothing to tell: it says which run of the peer the record is to name. Seen on the
+        // bench: a record written before it named none, and nobody could inherit.
+        if (!run.isEmpty() && acked >= snapshotEnd && made - acked <= MOST_CHANGES) {
           snapshotEnd = made;
           become(State.ENLISTING, "has all but " + (made - acked));
         }
@@ -214,7 +217,7 @@
     } else {
       queue.clear();
       become(State.STRIKING, why);
-      drop();
+      strike();
     }
   }
 
@@ -243,21 +246,24 @@
     });
   }
 
-  /** Drops the record; only then may launches go that no standby has acknowledged. */
-  private void drop() {
+  /**
+   * Writes a record that names nobody; only then may launches go that no standby has acknowledged. Found by the search of
+   * small cases: that the record is not there proves nothing, since a newer leader may have dropped it, or a write of this
+   * leader that names a standby may yet arrive. A newer version, under this leader's key, makes both fail.
+   */
+  private void strike() {
     if (writing || now < nextWriteMicros) {
       return;
     }
-    if (recordVersion == 0) {
-      become(State.ALONE, "no record");
-      return;
-    }
     writing = true;
-    host.write(recordVersion, null, version -> {
+    Map<String, Object> nobody = new LinkedHashMap<>();
+    nobody.put("epoch", term);
+    nobody.put("node", "");
+    host.write(recordVersion, nobody, version -> {
       writing = false;
       if (version > 0) {
-        recordVersion = 0;
-        become(State.ALONE, "the record is gone");
+        recordVersion = version;
+        become(State.ALONE, "the record names nobody");
       } else {
         nextWriteMicros = now + TXN_RETRY_MICROS;
         if (version < 0) {
