--- a/src/main/java/org/eiderstair/core/Fleet.java
+++ b/src/main/java/org/eiderstair/core/Fleet.java
@@ -117,7 +117,7 @@
         inherit(m, picture.get(m.id));
       }
     }
-    takeOver.caughtUp(unheard.size(), now);
+    takeOver.caughtUp(unheard.size() + pictured.size(), picture != null, now);
   }
 
   private void inherit(Machine m, Standby.Held held) {
@@ -169,7 +169,7 @@
     m.phase = next;
     enter(m);
     if (takeOver != null) {
-      takeOver.unheard(unheard.size(), now);
+      takeOver.unheard(unheard.size() + pictured.size(), now);
     }
   }
 
--- a/src/main/java/org/eiderstair/core/Scheduler.java
+++ b/src/main/java/org/eiderstair/core/Scheduler.java
@@ -1,5 +1,6 @@
 package org.eiderstair.core;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
@@ -133,11 +134,19 @@
     fleet.takeOver(electedMicros,
         standby.inherit(term, replica.revision(), record == null ? null : record.value()), now);
     if (record != null || settings.keepsStandby()) {
-      standby.leads(new StandbyHost(), term, settings.keepsStandby() ? settings.peers() : List.of(),
+      standby.leads(new StandbyHost(), term, settings.keepsStandby() ? inOtherZonesFirst() : List.of(),
           record == null ? 0 : record.version());
     }
   }
 
+  /** A zone that is cut off should not take the leader and its standby at once. */
+  private List<String> inOtherZonesFirst() {
+    Map<String, String> zones = settings.nodeZones();
+    String own = zones.getOrDefault(settings.node(), "");
+    return settings.peers().stream()
+        .sorted(Comparator.comparing((String peer) -> own.equals(zones.get(peer)))).toList();
+  }
+
   /** The leader's side of the standby: its picture, the peer link, and the record under the leader key. */
   private final class StandbyHost implements Standby.Host {
     @Override
--- a/src/main/java/org/eiderstair/core/TakeOver.java
+++ b/src/main/java/org/eiderstair/core/TakeOver.java
@@ -4,8 +4,9 @@
 final class TakeOver {
 
   /**
-   * CATCHING_UP reads what the term before wrote last. HEARING hears the machines that were in the roster. WHOLE has
-   * heard each of them, or had proof that it is gone.
+   * CATCHING_UP reads what the term before wrote last. HEARING hears the machines that were in the roster; older work waits
+   * unless all that may be on them is known from the standby's picture. WHOLE has heard each of them, or had proof that it is
+   * gone.
    */
   enum Phase { CATCHING_UP, HEARING, WHOLE }
 
@@ -16,6 +17,7 @@
   private final long electedMicros;
   private Phase phase = Phase.CATCHING_UP;
   private int machines;
+  private boolean pictured;
   private long caughtUpMicros = NEVER;
   private long halfMicros = NEVER;
   private long mostMicros = NEVER;
@@ -35,7 +37,7 @@
   private void become(Phase next, long nowMicros) {
     phase = next;
     if (next == Phase.WHOLE) {
-      ports.info("take-over WHOLE, term=" + term + ": " + machines + " machines; ms after the election: caught up "
+      ports.info("take-over WHOLE, term=" + term + ": " + machines + " machines" + (pictured ? " known from the standby's picture" : "") + "; ms after the election: caught up "
           + since(caughtUpMicros) + ", first launch " + since(launchedMicros) + ", half heard " + since(halfMicros)
           + ", 95% heard " + since(mostMicros) + ", all heard or gone " + since(nowMicros));
     }
@@ -45,8 +47,9 @@
     return micros == NEVER ? "not yet" : String.valueOf((micros - electedMicros) / 1000);
   }
 
-  void caughtUp(int unheard, long nowMicros) {
+  void caughtUp(int unheard, boolean withPicture, long nowMicros) {
     machines = unheard;
+    pictured = withPicture;
     caughtUpMicros = nowMicros;
     become(Phase.HEARING, nowMicros);
     unheard(unheard, nowMicros);
--- a/src/test/java/org/eiderstair/protocol/PeerMessagesTest.java
+++ b/src/test/java/org/eiderstair/protocol/PeerMessagesTest.java
@@ -12,6 +12,7 @@
 import org.eiderstair.core.Order;
 import org.eiderstair.core.TaskId;
 import org.eiderstair.core.member.Hearing;
+import org.eiderstair.core.standby.Batch;
 import org.eiderstair.peer.PeerMessages;
 
 class PeerMessagesTest {
@@ -42,6 +43,16 @@
     assertEquals(new Event.PeerHeardAsked(9, run, after), PeerMessages.heardAsked(9, PeerMessages.heardAsk(run, after)));
   }
 
+  @Property(tries = 100, seed = "7")
+  void aStandbysBatchesReadBackAsWritten(@ForAll long term, @ForAll long first, @ForAll boolean more, @ForAll String job,
+      @ForAll int index) throws Malformed {
+    Batch batch = new Batch(term, 2, first, more, List.of(new Batch.Change(more, "i-000001", term, job, index, first),
+        new Batch.Change(true, "i-000002", 1, "", 0, 0)));
+    assertEquals(batch, PeerMessages.standby(PeerMessages.standby(batch)));
+    Batch.Ack ack = new Batch.Ack(job, more, first);
+    assertEquals(ack, PeerMessages.standbyAck(PeerMessages.standbyAck(ack)).ack());
+  }
+
   @Property(tries = 500, seed = "5")
   void anyBytesAreReadOrRefused(@ForAll byte[] bytes) {
     try {
@@ -54,6 +65,16 @@
     } catch (Malformed expected) {
       // Nor here.
     }
+    try {
+      PeerMessages.standby(bytes);
+    } catch (Malformed expected) {
+      // Nor here.
+    }
+    try {
+      PeerMessages.standbyAck(bytes);
+    } catch (Malformed expected) {
+      // Nor here.
+    }
     try {
       PeerMessages.heard(bytes);
     } catch (Malformed expected) {
