--- a/src/test/java/org/eiderstair/sim/TogetherTest.java
+++ b/src/test/java/org/eiderstair/sim/TogetherTest.java
@@ -141,4 +141,43 @@
     });
     assertTrue(day.deletedAlive < 20, "given back alive " + day.deletedAlive);
   }
+
+  /** It stands still after the acknowledgement, another leads meanwhile, and then it sends what it had decided. */
+  @Example
+  void aLeaderThatStandsStillIsReplacedByItsStandbyAndDoesNoHarm() {
+    Day day = play(Day.Size.GROWN, d -> d.stall(d.leader(), 8 * SECOND));
+    assertEquals(1, logged("claim of term"), "noticed before its lease is over");
+    assertEquals(1, logged("inherits: WHOLE"));
+    assertTrue(day.deletedAlive < 20, "given back alive " + day.deletedAlive);
+  }
+
+  /** Batches and acknowledgements held by a cut arrive after the election; the leader goes on, without its standby. */
+  @Example
+  void aCutBetweenLeaderAndStandbyCostsALeaderNothing() {
+    play(Day.Size.GROWN, d -> d.cutNodeFromPeers(d.leader(), 6 * SECOND));
+    assertTrue(logged("IN_SYNC -> STRIKING") > 0);
+    assertEquals(0, logged("LEADING -> FOLLOWING"));
+  }
+
+  @Example
+  void threeTakeOversInTenSeconds() {
+    Day day = play(Day.Size.GROWN, d -> {
+      for (int i = 0; i < 3; i++) {
+        d.clock.after(i * 3_300_000L, () -> d.crash(d.leader(), SECOND));
+      }
+    });
+    assertTrue(logged("inherits: ELECTED") >= 4);
+    assertTrue(day.deletedAlive < 20, "given back alive " + day.deletedAlive);
+  }
+
+  /** Nobody can claim or be elected then; and nobody launches. */
+  @Example
+  void theStateServiceIsOutDuringATakeOver() {
+    Day day = play(Day.Size.GROWN, d -> {
+      d.crash(d.leader(), 3 * SECOND);
+      d.stateOutage(12 * SECOND);
+    });
+    assertTrue(logged("inherits: ELECTED") >= 2);
+    assertTrue(day.deletedAlive < 20, "given back alive " + day.deletedAlive);
+  }
 }
