--- a/src/main/java/org/eiderstair/core/standby/Primary.java
+++ b/src/main/java/org/eiderstair/core/standby/Primary.java
@@ -44,6 +44,7 @@
   private boolean sending;
   private long sentMicros;
   private long nextTryMicros;
+  private int failures;
   private boolean writing;
   private long nextWriteMicros;
   /** The record's version as this leader knows it; 0 when there is none. */
@@ -79,7 +80,9 @@
     state = next;
     if (next == State.ALONE) {
       queue.clear();
-      nextTryMicros = now + RETRY_MICROS;
+      // Where no peer can follow, the whole picture must not be made every two seconds for nothing.
+      nextTryMicros = now + (RETRY_MICROS << Math.min(failures, 4));
+      failures++;
       peer = peers.isEmpty() ? 0 : (peer + 1) % peers.size();
     }
     if (next == State.ALONE || next == State.FILLING) {
@@ -222,26 +225,10 @@
   }
 
   private void enlist() {
-    if (writing || now < nextWriteMicros) {
-      return;
-    }
-    writing = true;
-    Map<String, Object> record = new LinkedHashMap<>();
-    record.put("epoch", term);
-    record.put("node", peers.get(peer));
-    record.put("run", run);
-    host.write(recordVersion, record, version -> {
-      writing = false;
-      if (version > 0) {
-        recordVersion = version;
-        if (state == State.ENLISTING) {
-          become(State.IN_SYNC, "named in the record");
-        }
-      } else {
-        nextWriteMicros = now + TXN_RETRY_MICROS;
-        if (version < 0) {
-          reread();
-        }
+    write(peers.get(peer), () -> {
+      if (state == State.ENLISTING) {
+        failures = 0;
+        become(State.IN_SYNC, "named in the record");
       }
     });
   }
@@ -252,23 +239,28 @@
    * leader that names a standby may yet arrive. A newer version, under this leader's key, makes both fail.
    */
   private void strike() {
+    write("", () -> become(State.ALONE, "the record names nobody"));
+  }
+
+  private void write(String name, Runnable written) {
     if (writing || now < nextWriteMicros) {
       return;
     }
     writing = true;
-    Map<String, Object> nobody = new LinkedHashMap<>();
-    nobody.put("epoch", term);
-    nobody.put("node", "");
-    host.write(recordVersion, nobody, version -> {
+    Map<String, Object> record = new LinkedHashMap<>();
+    record.put("epoch", term);
+    record.put("node", name);
+    record.put("run", run);
+    host.write(recordVersion, record, version -> {
       writing = false;
       if (version > 0) {
         recordVersion = version;
-        become(State.ALONE, "the record names nobody");
-      } else {
-        nextWriteMicros = now + TXN_RETRY_MICROS;
-        if (version < 0) {
-          reread();
-        }
+        written.run();
+        return;
+      }
+      nextWriteMicros = now + TXN_RETRY_MICROS;
+      if (version < 0) {
+        reread();
       }
     });
   }
