--- a/src/main/java/org/eiderstair/core/Renting.java
+++ b/src/main/java/org/eiderstair/core/Renting.java
@@ -162,7 +162,7 @@
 
   /** Machines that are of no more use: silent, failed to boot, drained, or idle for longer than they are worth. */
   private void retire() {
-    survey = membership.survey(fleet.machines.values(), settings.tuning().unheardDeleteMicros(),
+    survey = membership.survey(fleet.machines.values(), fleet.unreached(), settings.tuning().unheardDeleteMicros(),
         settings.tuning().darkDeleteMicros(), now);
     int spared = 0;
     for (Machine m : fleet.machines.values()) {
--- a/src/main/java/org/eiderstair/core/member/Membership.java
+++ b/src/main/java/org/eiderstair/core/member/Membership.java
@@ -206,13 +206,14 @@
    * Looks at all machines of a term together. Many gone silent together are one fault, this node's or a zone's, more
    * likely than many.
    *
+   * @param unreached whether hardly any machine reaches this node by itself just now
    * @param patienceMicros how long a machine alone may be silent
    * @param darkMicros how long one of a zone that nobody sees may be
    */
-  public Survey survey(Iterable<? extends Survey.Member> machines, long patienceMicros, long darkMicros,
-      long nowMicros) {
+  public Survey survey(Iterable<? extends Survey.Member> machines, boolean unreached, long patienceMicros,
+      long darkMicros, long nowMicros) {
     now = nowMicros;
-    Survey survey = new Survey(this, machines, patienceMicros, darkMicros, nowMicros);
+    Survey survey = new Survey(this, machines, unreached, patienceMicros, darkMicros, nowMicros);
     survey.zones((zone, dark, latestMicros) -> {
       if (dark && !reached(zone) && !darkZones.containsKey(zone)) {
         become(zone, ZoneState.DARK, survey.evidence());
--- a/src/main/java/org/eiderstair/core/member/Survey.java
+++ b/src/main/java/org/eiderstair/core/member/Survey.java
@@ -46,6 +46,7 @@
   }
 
   private final Membership peers;
+  private final boolean unreached;
   private final long patienceMicros;
   private final long darkMicros;
   private final long now;
@@ -55,7 +56,9 @@
   private int elsewhere;
   private int holding;
 
-  Survey(Membership peers, Iterable<? extends Member> machines, long patienceMicros, long darkMicros, long now) {
+  Survey(Membership peers, Iterable<? extends Member> machines, boolean unreached, long patienceMicros, long darkMicros,
+      long now) {
+    this.unreached = unreached;
     this.peers = peers;
     this.patienceMicros = patienceMicros;
     this.darkMicros = darkMicros;
@@ -98,8 +101,12 @@
     zones.forEach((name, z) -> use.take(name, z.dark(), z.latestMicros));
   }
 
+  /**
+   * Most machines are silent, or none reaches this node any more: those heard longest ago are merely the first to run out of
+   * patience. Seen in a cut: 33 were given back in the second before peers heard them.
+   */
   public boolean cutOff() {
-    return silent >= MANY && silent * 2 > all;
+    return silent >= MANY && (unreached || silent * 2 > all);
   }
 
   public Verdict of(Member m) {
--- a/src/test/java/org/eiderstair/core/member/MembershipTest.java
+++ b/src/test/java/org/eiderstair/core/member/MembershipTest.java
@@ -126,12 +126,12 @@
     answer(peer, "n1", 20 * SECOND);
     List<Known> all = machines(2, "b", 9 * SECOND);
     all.addAll(machines(20, "a", 20 * SECOND));
-    Survey survey = leader.survey(all, PATIENCE, PATIENCE, 21 * SECOND);
+    Survey survey = leader.survey(all, false, PATIENCE, PATIENCE, 21 * SECOND);
     assertEquals(Survey.Verdict.ELSEWHERE, survey.of(all.get(1)));
     assertEquals(Survey.Verdict.SILENT, survey.of(all.get(0)));
     // What it told is believed no longer than it goes on telling.
     leader.tick(false, 40 * SECOND);
-    assertEquals(Survey.Verdict.SILENT, leader.survey(all, PATIENCE, PATIENCE, 40 * SECOND).of(all.get(1)));
+    assertEquals(Survey.Verdict.SILENT, leader.survey(all, false, PATIENCE, PATIENCE, 40 * SECOND).of(all.get(1)));
   }
 
   /** An answer that was long on its way must not stand for the whole: machines heard there would seem silent. */
@@ -164,7 +164,7 @@
     assertTrue(leader.begun(3 * SECOND));
     assertTrue(leader.isDark("b"));
     assertFalse(leader.isDark("a") || leader.isDark("c"));
-    leader.survey(machines(1, "b", 4 * SECOND), PATIENCE, PATIENCE, 4 * SECOND);
+    leader.survey(machines(1, "b", 4 * SECOND), false, PATIENCE, PATIENCE, 4 * SECOND);
     assertFalse(leader.isDark("b"), "one of its machines is heard");
   }
 
@@ -174,8 +174,13 @@
     all.addAll(machines(5, "b", 20 * SECOND));
     leader.tick(true, 18 * SECOND);
     Known one = all.get(0);
-    assertEquals(Survey.Verdict.CUT_OFF, leader.survey(all, PATIENCE, PATIENCE, 21 * SECOND).of(one));
-    assertEquals(Survey.Verdict.SILENT, leader.survey(all, PATIENCE, PATIENCE, 40 * SECOND).of(one));
+    assertEquals(Survey.Verdict.CUT_OFF, leader.survey(all, false, PATIENCE, PATIENCE, 21 * SECOND).of(one));
+    assertEquals(Survey.Verdict.SILENT, leader.survey(all, false, PATIENCE, PATIENCE, 40 * SECOND).of(one));
+    // None reaches this node any more: these are merely the first to run out of patience.
+    List<Known> first = machines(8, "a", 9 * SECOND);
+    first.addAll(machines(50, "b", 20 * SECOND));
+    assertEquals(Survey.Verdict.SILENT, leader.survey(first, false, PATIENCE, PATIENCE, 21 * SECOND).of(first.get(0)));
+    assertEquals(Survey.Verdict.CUT_OFF, leader.survey(first, true, PATIENCE, PATIENCE, 21 * SECOND).of(first.get(0)));
   }
 
   @Example
@@ -184,13 +189,13 @@
     all.addAll(machines(20, "a", 20 * SECOND));
     leader.tick(true, 18 * SECOND);
     Known one = all.get(0);
-    assertEquals(Survey.Verdict.DARK, leader.survey(all, PATIENCE, 60 * SECOND, 21 * SECOND).of(one));
+    assertEquals(Survey.Verdict.DARK, leader.survey(all, false, PATIENCE, 60 * SECOND, 21 * SECOND).of(one));
     assertTrue(leader.isDark("b"));
     assertEquals(1, logs.size());
     // Its controller answers: the zone is not cut off, so its machines are dead.
     answer(node("n1", "p"), "n1", 22 * SECOND);
     assertFalse(leader.isDark("b"));
-    assertEquals(Survey.Verdict.SILENT, leader.survey(all, PATIENCE, 60 * SECOND, 22 * SECOND).of(one));
+    assertEquals(Survey.Verdict.SILENT, leader.survey(all, false, PATIENCE, 60 * SECOND, 22 * SECOND).of(one));
   }
 
   @Example
@@ -198,9 +203,9 @@
     List<Known> all = machines(1, "b", 9 * SECOND);
     all.addAll(machines(20, "a", 20 * SECOND));
     leader.tick(true, 19 * SECOND);
-    Survey asking = leader.survey(all, PATIENCE, PATIENCE, 19 * SECOND + 100_000);
+    Survey asking = leader.survey(all, false, PATIENCE, PATIENCE, 19 * SECOND + 100_000);
     assertEquals(Survey.Verdict.DOUBTED, asking.of(all.get(0)));
     asked.forEach(a -> a.then().accept(new Membership.Answer(null)));
-    assertEquals(Survey.Verdict.SILENT, leader.survey(all, PATIENCE, PATIENCE, 19 * SECOND + 200_000).of(all.get(0)));
+    assertEquals(Survey.Verdict.SILENT, leader.survey(all, false, PATIENCE, PATIENCE, 19 * SECOND + 200_000).of(all.get(0)));
   }
 }
