--- a/src/main/java/org/eiderstair/core/Renting.java
+++ b/src/main/java/org/eiderstair/core/Renting.java
@@ -411,9 +411,9 @@
     @Override
     public void gone(String machine) {
       Machine m = fleet.machines.get(machine);
-      if (m != null) {
+      if (m != null && m.condemned) {
         // What was refused for want of room there may be had now. Seen after a zone's cut: 350 machines were given back,
-        // and none rented for them until the last refusal was 15 s old.
+        // and none rented for them until the last refusal was 15 s old. One that was idle is not missed.
         refusedUntil.remove(new Offer(m.typeName, m.zone, m.spot));
         nextDecideMicros = Math.min(nextDecideMicros, now + RENT_GAP_MICROS);
       }
