--- a/src/test/java/org/eiderstair/core/duty/DutiesTest.java
+++ b/src/test/java/org/eiderstair/core/duty/DutiesTest.java
@@ -37,9 +37,21 @@
     final List<Runnable> onTheWay = new ArrayList<>();
     final List<String> broken = new ArrayList<>();
     int decided;
+    /** Whether a late copy of the next request follows it; its answer reaches nobody. */
+    boolean copies;
     long epoch;
     long now;
 
+    void toCloud(Runnable request, Runnable answer) {
+      onTheWay.add(() -> {
+        request.run();
+        onTheWay.add(answer);
+      });
+      if (copies) {
+        onTheWay.add(request);
+      }
+    }
+
     void deliver(int index) {
       onTheWay.remove(index).run();
     }
@@ -105,20 +117,21 @@
 
     @Override
     public void rent(String charter, Offer offer, int count, Consumer<Duties.Rental> then) {
-      world.onTheWay.add(() -> {
+      List<String> names = new ArrayList<>();
+      world.toCloud(() -> {
         if (!world.store.containsKey(Duties.RENTALS + charter) && !world.charters.containsKey(charter)) {
           world.broken.add("asked for " + charter + " before it was durable");
         }
-        List<String> names = world.charters.computeIfAbsent(charter, c -> {
+        names.clear();
+        names.addAll(world.charters.computeIfAbsent(charter, c -> {
           List<String> made = new ArrayList<>();
           for (int i = 0; i < count; i++) {
             made.add(c + "/" + i);
           }
           world.running.addAll(made);
           return made;
-        });
-        world.onTheWay.add(() -> then.accept(new Duties.Rental(Duties.Rental.Outcome.GRANTED, names, "")));
-      });
+        }));
+      }, () -> then.accept(new Duties.Rental(Duties.Rental.Outcome.GRANTED, List.copyOf(names), "")));
     }
 
     @Override
@@ -127,7 +140,7 @@
         world.onTheWay.add(() -> then.accept(Duties.Deletion.REFUSED));
         return;
       }
-      world.onTheWay.add(() -> {
+      world.toCloud(() -> {
         for (String machine : machines) {
           if (!world.everMarked.contains(machine)) {
             world.broken.add(machine + " deleted without a mark");
@@ -136,8 +149,7 @@
             world.broken.add(machine + " deleted by epoch " + epoch + " while in use by a later one");
           }
         }
-        world.onTheWay.add(() -> then.accept(Duties.Deletion.DONE));
-      });
+      }, () -> then.accept(Duties.Deletion.DONE));
     }
 
     @Override
@@ -235,6 +247,7 @@
         }
       }
       h.refusedByCloud = random.nextInt(10) == 0;
+      world.copies = random.nextInt(5) == 0;
       h.duties.tick(world.now);
       latest.duties.tick(world.now);
     }
@@ -242,6 +255,7 @@
     // All that was ever written is settled by the last holder, and it knows every machine.
     Holder last = holders.get(holders.size() - 1);
     last.refusedByCloud = false;
+    world.copies = false;
     for (int i = 0; i < 400; i++) {
       world.now += SECOND / 2;
       holders.forEach(x -> x.duties.tick(world.now));
--- a/src/test/java/org/eiderstair/core/standby/StandbyTest.java
+++ b/src/test/java/org/eiderstair/core/standby/StandbyTest.java
@@ -33,6 +33,8 @@
     final List<String> broken = new ArrayList<>();
     final List<Runnable> messages = new ArrayList<>();
     final List<String> names = new ArrayList<>();
+    /** Batches that were sent: late copies of them may arrive at any time. */
+    final TreeMap<String, Runnable> copies = new TreeMap<>();
     long revision;
     String leader;
     long leaderTerm;
@@ -70,6 +72,9 @@
           });
         }
       }
+      if (!copies.isEmpty()) {
+        all.put("copy of " + copies.firstKey(), () -> copies.pollFirstEntry().getValue().run());
+      }
       for (Node n : nodes) {
         if (n.term > 0 && launches < LAUNCHES) {
           all.put("launch by " + n.name, () -> n.launch("t" + ++launches));
@@ -99,7 +104,7 @@
     String state() {
       StringBuilder s = new StringBuilder();
       s.append(leader).append(leaderTerm).append(record).append(new TreeMap<>(Map.of("l", launched))).append(launches)
-          .append(elections).append(restarts).append(new java.util.TreeSet<>(names));
+          .append(elections).append(restarts).append(new java.util.TreeSet<>(names)).append(copies.keySet());
       for (Node n : nodes) {
         s.append('|').append(n.term).append(n.run).append(n.standby.summary()).append(n.known).append(n.held())
             .append(n.stands).append(n.authority);
@@ -219,6 +224,12 @@
     @Override
     public void send(String peer, Batch batch, Consumer<Batch.Ack> then) {
       String ofRun = run;
+      if (!batch.changes().isEmpty() && world.copies.size() < 2) {
+        world.copies.put(name + batch.term() + "." + batch.filling() + "." + batch.first(), () -> {
+          Node to = world.node(peer);
+          to.standby.take(batch, to.term == 0, 0);
+        });
+      }
       world.send("batch " + name + batch.term() + "." + batch.filling() + "." + batch.first() + "+"
           + batch.changes().size(), () -> {
             Node to = world.node(peer);
@@ -287,7 +298,7 @@
     return world;
   }
 
-  /** All orders, with loss, of two nodes, three launches, three elections and a restart; from the start, and from being in sync. */
+  /** All orders, with loss and late copies, of two nodes, three launches, three elections and a restart; from the start, and from being in sync. */
   @Example
   void everyOrderOfASmallCase() {
     List<String> inSync = new ArrayList<>(List.of("elect a"));
