Rentals that are refused or of unknown types leave nothing behind; what was done twice, once

The machines that stand for a rental until it is answered were kept for each one that the cloud refused, for the whole term. A rental of an earlier term whose type the catalogue no longer has made each pass throw: one leader after another would have left office. Both have a test that was seen to fail without its guard.

Without change of behaviour: silence is judged once a second for each machine, not twice; a return changes its state in one place; how many machines peers hear is counted once; a claim is made once; what was checked of an inheritance is said, not kept; the tests' hosts of a standby share one piece.

--- a/src/main/java/org/eiderstair/core/Core.java
+++ b/src/main/java/org/eiderstair/core/Core.java
@@ -1,6 +1,7 @@
 package org.eiderstair.core;
 
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.IntUnaryOperator;
 import org.eiderstair.core.member.Membership;
@@ -173,17 +174,18 @@
         || Records.whole(record.value(), "epoch", 0) != leader.term()) {
       return;
     }
+    Map<String, Object> claimed = Standby.claim(record.value());
     claiming = true;
     standby.stands();
     ports.info("claiming the term of " + leader.node() + ", which is not heard, term=" + leader.term());
     ports.call(new Request.StoreTxn(List.of(new Request.Condition(Records.LEADER, leader.term()),
         new Request.Condition(Standby.RECORD, record.version())),
-        List.of(new Request.Write(Standby.RECORD, Standby.claim(record.value()), 0))), reply -> {
+        List.of(new Request.Write(Standby.RECORD, claimed, 0))), reply -> {
           claiming = false;
           nextClaimMicros = now + CLAIM_AGAIN_MICROS;
           ports.info("claim of term " + leader.term() + ": " + reply);
           if (reply instanceof Reply.Applied applied) {
-            replica.apply(new Reply.Item(Standby.RECORD, Standby.claim(record.value()), applied.revision()));
+            replica.apply(new Reply.Item(Standby.RECORD, claimed, applied.revision()));
             ports.call(new Request.LeaseDrop(leader.lease()), dropped -> { });
           }
         });
--- a/src/main/java/org/eiderstair/core/Machine.java
+++ b/src/main/java/org/eiderstair/core/Machine.java
@@ -63,6 +63,8 @@
   boolean rostered;
   /** To be given back for its silence alone. */
   boolean condemned;
+  /** Silent, in a zone that nobody sees. */
+  boolean dark;
   /** Its last report came through a peer: this node may not reach it. */
   boolean relayed;
   /** More than the demand asks for: used last, so that it falls idle and can be returned. */
--- a/src/main/java/org/eiderstair/core/Renting.java
+++ b/src/main/java/org/eiderstair/core/Renting.java
@@ -49,7 +49,7 @@
   private boolean listing;
   private boolean readingCatalog;
   /** Machines asked for, by name of the rental. */
-  private final Map<String, List<Machine>> awaited = new HashMap<>();
+  final Map<String, List<Machine>> awaited = new HashMap<>();
   private final Map<Offer, Long> refusedUntil = new HashMap<>();
   private final Duties duties;
   private final Membership membership;
@@ -175,6 +175,7 @@
         continue;
       }
       Survey.Verdict verdict = survey.of(m);
+      m.dark = verdict == Survey.Verdict.DARK;
       String why = null;
       if (m.phase == Machine.Phase.BOOTING) {
         long boot = m.type == null ? 60_000_000L : m.type.bootMicros();
@@ -236,9 +237,8 @@
     List<Room> rooms = new ArrayList<>();
     for (Machine m : fleet.machines.values()) {
       // What nobody sees is asked for elsewhere; it is not given back for it.
-      boolean dark = survey != null && survey.of(m) == Survey.Verdict.DARK;
       m.surplus = false;
-      if (m.plan == Machine.Plan.USE && m.type != null && !dark) {
+      if (m.plan == Machine.Plan.USE && m.type != null && !m.dark) {
         rooms.add(new Room(m));
       }
     }
@@ -330,8 +330,14 @@
     nextDecideMicros = Math.min(nextDecideMicros, now + RENT_GAP_MICROS);
   }
 
-  /** Machines whose names are not known yet, as if they were booting: nothing is rented twice over. */
+  /**
+   * Machines whose names are not known yet, as if they were booting: nothing is rented twice over. A rental of an earlier term
+   * may be of a type that the cloud no longer has; that must not end one leader after another.
+   */
   private List<Machine> awaited(Duties.Awaited rental) {
+    if (replica.catalog().stream().noneMatch(t -> t.name().equals(rental.offer().type()))) {
+      return List.of();
+    }
     return awaited.computeIfAbsent(rental.charter(), charter -> {
       List<Machine> machines = new ArrayList<>(rental.count());
       for (int i = 0; i < rental.count(); i++) {
@@ -366,6 +372,9 @@
     @Override
     public void rent(String charter, Offer offer, int count, Consumer<Duties.Rental> then) {
       call(new Request.CloudRent(charter, offer.type(), offer.zone(), offer.spot(), count), reply -> {
+        if (!(reply instanceof Reply.Lost)) {
+          awaited.remove(charter);
+        }
         if (reply instanceof Reply.Rented rented) {
           then.accept(new Duties.Rental(Duties.Rental.Outcome.GRANTED, rented.machines(), ""));
         } else {
--- a/src/main/java/org/eiderstair/core/Scheduler.java
+++ b/src/main/java/org/eiderstair/core/Scheduler.java
@@ -109,9 +109,10 @@
     }
     boolean unreached = fleet.unreached();
     membership.tick(unreached || renting.missesMachines(), now);
-    if (unreached && fleet.heardBy(membership) >= HANDED_OVER) {
+    int heardByPeers = unreached ? fleet.heardBy(membership) : 0;
+    if (heardByPeers >= HANDED_OVER) {
       // Whoever stands next hears them: sooner than by this node's patience, which is for machines that are dead.
-      leadership.giveUp("no machine reaches this node while peers hear " + fleet.heardBy(membership) + " of them: "
+      leadership.giveUp("no machine reaches this node while peers hear " + heardByPeers + " of them: "
           + membership.evidence());
       return;
     }
--- a/src/main/java/org/eiderstair/core/duty/Duties.java
+++ b/src/main/java/org/eiderstair/core/duty/Duties.java
@@ -1,7 +1,6 @@
 package org.eiderstair.core.duty;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -176,12 +175,11 @@
   // Rentals.
 
   /** Decides a rental. It is written first, and asked for as soon as that is durable. */
-  public String rent(Offer offer, int count) {
+  public void rent(Offer offer, int count) {
     String charter = "r-" + epoch + "-" + ++numbers;
     RentalIntent r = new RentalIntent(charter, epoch, offer, count, now + dayOffsetMicros, RentalIntent.State.DECIDED);
     rentals.put(charter, r);
     host.put(RENTALS + charter, r.record(), () -> become(r, RentalIntent.State.WRITTEN, "durable"));
-    return charter;
   }
 
   /** Rentals whose machines are not known yet, so that they are counted as if they were booting. */
@@ -197,11 +195,9 @@
   public record Awaited(String charter, Offer offer, int count) {}
 
   public int awaited() {
-    int count = 0;
-    for (RentalIntent r : rentals.values()) {
-      count += r.state() != RentalIntent.State.ANSWERED ? 1 : 0;
-    }
-    return count;
+    int[] count = {0};
+    awaited(rental -> count[0]++);
+    return count[0];
   }
 
   private void become(RentalIntent r, RentalIntent.State next, String why) {
@@ -353,9 +349,9 @@
   }
 
   private void ask(Return r) {
-    boolean untouched = r.asking();
+    boolean first = r.touch();
+    become(r, Return.State.ASKED, "asking");
     returnsAsked++;
-    host.info("return " + r.name + " MARKED -> ASKED, term=" + epoch + ": " + r.machines().size() + " machines");
     host.delete(List.copyOf(r.machines()), deletion -> {
       returnsAsked--;
       if (holding == Holding.ENDED) {
@@ -367,8 +363,10 @@
         List.copyOf(r.machines()).forEach(this::gone);
       } else {
         r.notBeforeMicros = now + RETRY_MICROS;
-        r.refused(untouched && deletion == Deletion.REFUSED);
-        host.info("return " + r.name + " ASKED -> MARKED, term=" + epoch + ": " + deletion);
+        if (first && deletion == Deletion.REFUSED) {
+          r.untouch();
+        }
+        become(r, Return.State.MARKED, deletion.toString());
       }
     });
   }
@@ -395,8 +393,7 @@
     if (over != null) {
       over.forEach(r -> become(r, Return.State.SETTLED, "forgotten by list and roster"));
     }
-    Collection<RentalIntent> open = new ArrayList<>(rentals.values());
-    for (RentalIntent r : open) {
+    for (RentalIntent r : rentals.values()) {
       if (r.state() == RentalIntent.State.WRITTEN && now >= r.notBeforeMicros && rentalsAsked < RENTALS_AT_ONCE
           && host.mayCall()) {
         ask(r);
--- a/src/main/java/org/eiderstair/core/duty/Return.java
+++ b/src/main/java/org/eiderstair/core/duty/Return.java
@@ -62,17 +62,16 @@
     state = next;
   }
 
-  /** A request leaves; {@link #refused} says when it was certainly not carried out. */
-  boolean asking() {
+  /** A request leaves: says whether none could reach the machines before it. */
+  boolean touch() {
     boolean before = untouched;
     untouched = false;
-    become(State.ASKED);
     return before;
   }
 
-  void refused(boolean wasUntouched) {
-    untouched = wasUntouched;
-    become(State.MARKED);
+  /** That request, the first, was certainly not carried out. */
+  void untouch() {
+    untouched = true;
   }
 
   /** Whether a machine may be kept after all: no request that could still hit it may be on its way. */
--- a/src/main/java/org/eiderstair/core/standby/Standby.java
+++ b/src/main/java/org/eiderstair/core/standby/Standby.java
@@ -56,7 +56,6 @@
   private final Copy copy = new Copy();
   private Primary primary;
   private long heardMicros = Long.MIN_VALUE / 2;
-  private Check check = Check.REFUSED;
 
   public Standby(String node, String run, Consumer<String> log) {
     this.node = node;
@@ -104,9 +103,8 @@
     return claimed;
   }
 
-  /** The one function for every change of what was checked. */
-  private void become(Check next, String why) {
-    check = next;
+  /** How far the checks have come. */
+  private void reached(Check next, String why) {
     log.accept("inherits: " + next + ": " + why);
   }
 
@@ -116,22 +114,22 @@
    * @param record as of this term's beginning
    */
   public Map<String, Held> inherit(long term, long revision, Map<String, Object> record) {
-    become(Check.ELECTED, "term=" + term);
+    reached(Check.ELECTED, "term=" + term);
     if (revision < term) {
-      become(Check.REFUSED, "its keys are of revision " + revision);
+      reached(Check.REFUSED, "its keys are of revision " + revision);
       return null;
     }
-    become(Check.CAUGHT_UP, "revision " + revision);
+    reached(Check.CAUGHT_UP, "revision " + revision);
     if (record == null || !node.equals(record.get("node")) || !run.equals(record.get("run"))) {
-      become(Check.REFUSED, names(record) ? "the record names " + record.get("node") : "no standby was in sync");
+      reached(Check.REFUSED, names(record) ? "the record names " + record.get("node") : "no standby was in sync");
       return null;
     }
-    become(Check.NAMED, "by term " + record.get("epoch"));
+    reached(Check.NAMED, "by term " + record.get("epoch"));
     if (!named(record)) {
-      become(Check.REFUSED, "its picture is " + copy.state() + " of term " + copy.term());
+      reached(Check.REFUSED, "its picture is " + copy.state() + " of term " + copy.term());
       return null;
     }
-    become(Check.WHOLE, copy.machines().size() + " machines");
+    reached(Check.WHOLE, copy.machines().size() + " machines");
     Map<String, Held> all = new LinkedHashMap<>();
     copy.machines().forEach((machine, held) -> {
       Map<String, Map<Integer, Long>> attempts = new LinkedHashMap<>();
--- a/src/test/java/org/eiderstair/core/LeaderBench.java
+++ b/src/test/java/org/eiderstair/core/LeaderBench.java
@@ -4,12 +4,11 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import java.util.function.LongConsumer;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.core.source64.XoRoShiRo128PlusPlus;
 import org.eiderstair.core.standby.Batch;
+import org.eiderstair.core.standby.InstantHost;
 import org.eiderstair.core.standby.Standby;
 
 /** A leader's core with nothing round it: machines are made up, and commands stay unanswered. */
@@ -89,11 +88,7 @@
   /** A standby in sync that answers at once. */
   void keepStandby() {
     Standby other = new Standby("n1", "run1", text -> { });
-    standby.leads(new Standby.Host() {
-      @Override
-      public boolean whole() {
-        return true;
-      }
+    standby.leads(new InstantHost() {
 
       @Override
       public void snapshot(Consumer<Batch.Change> each) {
@@ -104,20 +99,6 @@
       public void send(String peer, Batch batch, Consumer<Batch.Ack> then) {
         then.accept(other.take(batch, true, now));
       }
-
-      @Override
-      public void write(long version, Map<String, Object> record, LongConsumer then) {
-        then.accept(version + 1);
-      }
-
-      @Override
-      public void read(BiConsumer<Long, Map<String, Object>> then) { }
-
-      @Override
-      public void claimed() { }
-
-      @Override
-      public void info(String text) { }
     }, TERM, List.of("n1"), 0);
     for (int i = 0; i < 100 && !standby.summary().endsWith("in sync"); i++) {
       standby.tick(now += 5_000_000);
--- /dev/null
+++ b/src/test/java/org/eiderstair/core/RentingTest.java
@@ -0,0 +1,71 @@
+package org.eiderstair.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Example;
+import org.eiderstair.core.duty.Duties;
+import org.eiderstair.core.member.Membership;
+
+/** What the leader makes of rentals, its own and those it finds. */
+class RentingTest {
+  private final LeaderBench bench = new LeaderBench();
+  private final Membership membership =
+      new Membership("n0", List.of(), Map.of(), "run", 3_000_000, (peer, run, after, then) -> { }, text -> { });
+  private Ledger ledger;
+  private Renting renting;
+
+  private void begin() {
+    bench.lead();
+    bench.replica.apply(new Reply.Item(Records.CATALOG, Records.catalog(List.of(LeaderBench.TYPE)), 50));
+    ledger = new Ledger(bench.settings, bench.ports, bench.replica, LeaderBench.TERM, null);
+    renting = new Renting(bench.settings, bench.ports, bench.replica, bench.fleet, bench.leadership, ledger,
+        new Demand(bench.settings, bench.replica), membership, LeaderBench.TERM);
+    renting.takeOver(bench.now);
+    membership.begin(bench.now);
+    membership.tick(false, bench.now);
+  }
+
+  private void reply(Class<? extends Request> kind, Reply reply) {
+    for (Effect e : List.copyOf(bench.effects)) {
+      if (e instanceof Effect.Call call && kind.isInstance(call.request())) {
+        bench.effects.remove(e);
+        bench.ports.replied(call.call(), reply);
+        return;
+      }
+    }
+    throw new AssertionError("no " + kind.getSimpleName() + " in " + bench.effects);
+  }
+
+  /** Refusals come every 15 s for each kind and zone, with up to 50 machines each that stood for what was asked for. */
+  @Example
+  void whatStoodForARefusedRentalIsForgotten() {
+    begin();
+    bench.job("blue", JobSpec.Priority.NORMAL, 10, 1);
+    renting.tick(bench.now += 1_000_000);
+    bench.replica.open.clear();
+    renting.tick(bench.now += 1_000_000);
+    assertEquals(1, renting.awaited.size());
+    ledger.tick(bench.now);
+    reply(Request.StoreTxn.class, new Reply.Applied(60));
+    renting.tick(bench.now);
+    reply(Request.CloudRent.class, new Reply.Refused(503));
+    assertTrue(renting.awaited.isEmpty());
+  }
+
+  /** A record that throws in each leader's hands would end one after another. */
+  @Example
+  void aRentalOfATypeThatIsNoMoreStopsNothing() {
+    String key = Duties.RENTALS + "r-0-1";
+    bench.replica.apply(new Reply.Item(key,
+        Map.of("type", "gone", "zone", "a", "spot", true, "n", 5L, "epoch", 0L, "at", 0L), 40));
+    begin();
+    bench.job("blue", JobSpec.Priority.NORMAL, 10, 1);
+    renting.tick(bench.now += 1_000_000);
+    assertEquals(1, bench.effects.stream()
+        .filter(e -> e instanceof Effect.Call c && c.request() instanceof Request.CloudRent).count(), "it is settled");
+    assertTrue(renting.summary().startsWith("2 rentals"), "and others are decided: " + renting.summary());
+  }
+}
--- a/src/test/java/org/eiderstair/core/standby/StandbyTest.java
+++ b/src/test/java/org/eiderstair/core/standby/StandbyTest.java
@@ -394,11 +394,7 @@
     for (int i = 0; i < 100_000; i++) {
       truth.computeIfAbsent("m" + i % 1600, m -> new HashMap<>()).put("job-" + i, (long) i);
     }
-    leader.leads(new Standby.Host() {
-      @Override
-      public boolean whole() {
-        return true;
-      }
+    leader.leads(new InstantHost() {
 
       @Override
       public void snapshot(Consumer<Batch.Change> each) {
@@ -410,20 +406,6 @@
         batches.add(batch);
         acks.add(then);
       }
-
-      @Override
-      public void write(long version, Map<String, Object> record, LongConsumer then) {
-        then.accept(7);
-      }
-
-      @Override
-      public void read(BiConsumer<Long, Map<String, Object>> then) { }
-
-      @Override
-      public void claimed() { }
-
-      @Override
-      public void info(String text) { }
     }, 3, List.of("b"), 0);
     long now = 10_000_000;
     leader.tick(now);
