Review case: controllers that all restart never finish reading the history

A load that is refused once for the request limit begins again with the first page, so three controllers keep each other from ever being ready.

--- a/review/standin/Controllers.java
+++ b/review/standin/Controllers.java
@@ -1,5 +1,6 @@
 import java.io.File;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
@@ -10,6 +11,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /** The controllers of a small deployment, as processes of the deploy file's run command. */
@@ -56,10 +58,18 @@
     }
   }
 
+  /** Returns a free port below the range from which the system takes ports for connections. */
   static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return socket.getLocalPort();
+    for (int i = 0; i < 100; i++) {
+      int port = ThreadLocalRandom.current().nextInt(11_000, 32_000);
+      try (ServerSocket socket =
+          new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+        return socket.getLocalPort();
+      } catch (BindException e) {
+        // In use: another one is tried.
+      }
     }
+    throw new IOException("no free port");
   }
 
   /** The addresses for users and workers by node name. */
--- a/review/standin/StateService.java
+++ b/review/standin/StateService.java
@@ -16,6 +16,7 @@
 
   private record Change(String key, boolean put, Object data, long stamp) {}
 
+  private final long latencyMillis;
   private final int txnOps;
   private final int valueBytes;
   private final Bucket requests;
@@ -29,6 +30,18 @@
   private volatile int refusedByLimit;
 
   StateService(double rps, double writeRps, int valueKb, int txnOps, long firstRevision) {
+    this(rps, writeRps, valueKb, txnOps, firstRevision, 5);
+  }
+
+  /** A state service that answers after so many milliseconds. */
+  StateService(
+      double rps,
+      double writeRps,
+      int valueKb,
+      int txnOps,
+      long firstRevision,
+      long latencyMillis) {
+    this.latencyMillis = latencyMillis;
     this.txnOps = txnOps;
     this.valueBytes = valueKb * 1024;
     this.requests = new Bucket(rps);
@@ -89,7 +102,7 @@
 
   @Override
   public Http.Response handle(Http.Request request) throws Exception {
-    Thread.sleep(5);
+    Thread.sleep(latencyMillis);
     if (!requests.take(1)) {
       refusedByLimit++;
       return Http.Response.of(429, Map.of("error", "rate"));
