--- a/src/test/java/org/eiderstair/core/LeaderFixture.java
+++ b/src/test/java/org/eiderstair/core/LeaderFixture.java
@@ -310,7 +310,7 @@
   public void machines(int count) {
     for (int i = 0; i < count; i++) {
       Machine machine = new Machine("m-" + i, TERM, Machine.Phase.CONFIRMED, now);
-      machine.describe("x", "t", TYPE.zones().get(i % 3), false);
+      machine.describe(machine.id(), "t", TYPE.zones().get(i % 3), false);
       machine.assignType(TYPE);
       machine.markRegistered();
       machine.recoverIncarnation(1);
--- a/src/test/java/org/eiderstair/core/workers/CommandSearchTest.java
+++ b/src/test/java/org/eiderstair/core/workers/CommandSearchTest.java
@@ -78,7 +78,7 @@
           }
         }
       }
-      case NEVER_KILLS -> simulation.dropsKills = true;
+      case NEVER_KILLS -> simulation.worker.dropsKills = true;
     }
   }
 
--- a/src/test/java/org/eiderstair/core/workers/CommandSimulation.java
+++ b/src/test/java/org/eiderstair/core/workers/CommandSimulation.java
@@ -42,13 +42,12 @@
   final List<LeaderFixture> leaders = new ArrayList<>();
   final int taskCount;
   final boolean withReplica;
-  final ProtocolWorker worker = new ProtocolWorker();
+  final ProtocolWorker worker = new ProtocolWorker(MACHINE);
   final List<InFlightCommand> commands = new ArrayList<>();
   InFlightHeartbeat heartbeat;
   Heartbeat earlierHeartbeat;
   int deliveredCopies;
   boolean cancelled;
-  boolean dropsKills;
   long now = SECOND_MICROS;
   final List<String> violations = new ArrayList<>();
 
@@ -277,29 +276,15 @@
 
   private void deliverAnswer() {
     if (heartbeat.answer instanceof Answer.Command command
-        && command.fencingToken().isAtLeast(worker.fencingToken)
-        && heartbeat.content.incarnation() == worker.incarnation) {
-      worker.fencingToken = command.fencingToken();
+        && worker.receiveAnswer(command, heartbeat.content.incarnation())) {
       worker.leaseStartMicros = heartbeat.sentMicros;
-      execute(command.orders());
     }
     earlierHeartbeat = heartbeat.content;
     heartbeat = null;
   }
 
-  private void execute(List<Order> orders) {
-    orders.stream().filter(o -> !dropsKills || !(o instanceof Order.Kill)).forEach(worker::execute);
-  }
-
   private void deliverCommand(InFlightCommand command) {
-    boolean valid =
-        command.request.fencingToken().isAtLeast(worker.fencingToken)
-            && command.request.incarnation() == worker.incarnation;
-    if (valid) {
-      worker.fencingToken = command.request.fencingToken();
-      execute(command.request.orders());
-    }
-    command.reply = new Reply.WorkerStatus(worker.nextHeartbeat(), valid);
+    command.reply = worker.receive(command.request);
     if (command.givenUp) {
       commands.remove(command);
     }
@@ -371,8 +356,7 @@
             .anyMatch(
                 command ->
                     command.reply == null
-                        && command.request.fencingToken().isAtLeast(worker.fencingToken)
-                        && command.request.incarnation() == worker.incarnation
+                        && worker.accepts(command.request)
                         && containsLaunch(command.request.orders(), task));
     boolean byAnswer =
         heartbeat != null
--- a/src/test/java/org/eiderstair/node/FakeMachine.java
+++ b/src/test/java/org/eiderstair/node/FakeMachine.java
@@ -25,6 +25,7 @@
   private final Map<String, Task> tasks = new LinkedHashMap<>();
   private long sequence;
   private long fencingToken;
+  private final List<Map<String, Object>> executedCommands = new ArrayList<>();
 
   FakeMachine(int number, int port, long taskMillis) {
     this.id = String.format("i-%06d", number);
@@ -62,6 +63,31 @@
     return SampleMessages.heartbeat(worker, ++sequence, fencingToken, entries);
   }
 
+  /** Executes a command, unless its fencing token is outdated; returns whether it did. */
+  synchronized boolean receiveCommand(Map<String, Object> command) {
+    boolean executes = (Long) command.get("Baton") >= fencingToken;
+    if (executes) {
+      execute(command);
+      executedCommands.add(command);
+    }
+    return executes;
+  }
+
+  /** Returns the executed commands that contain a launch of the task. */
+  synchronized List<Map<String, Object>> launchCommands(String task) {
+    return executedCommands.stream()
+        .filter(
+            command ->
+                ((List<?>) command.get("Orders"))
+                    .stream().anyMatch(order -> task.equals(((Map<?, ?>) order).get("Piece"))))
+        .toList();
+  }
+
+  /** Returns whether the next heartbeat would report the task. */
+  synchronized boolean reports(String task) {
+    return tasks.containsKey(task);
+  }
+
   /**
    * Executes the orders of a command or of the answer to a heartbeat.
    *
@@ -76,7 +102,7 @@
       Map<?, ?> order = (Map<?, ?>) element;
       String task = (String) order.get("Piece");
       if (order.get("Verb").equals("launch")) {
-        tasks.put(task, new Task((Long) order.get("Try"), nowMillis() + taskMillis));
+        tasks.putIfAbsent(task, new Task((Long) order.get("Try"), nowMillis() + taskMillis));
       } else {
         tasks.remove(task);
       }
--- a/src/test/java/org/eiderstair/node/FakePlatform.java
+++ b/src/test/java/org/eiderstair/node/FakePlatform.java
@@ -214,7 +214,9 @@
       response.setStatus(404);
       return Map.of();
     }
-    receiver.get().execute(body);
+    if (!receiver.get().receiveCommand(body)) {
+      response.setStatus(409);
+    }
     return receiver.get().heartbeat();
   }
 
