core.workers: each order is logged with its reason, and orders are counted

Need: in the records of the incident no controller's log said at info or debug which start, stop or acknowledgement was sent under which token, nor why; the operators' monitoring alone showed it. The leader's own lines had fallen out of the kept window besides.

Change: OrderLog writes at debug a line for each order (task, attempt, machine, incarnation, token, carrier, reason) and for each token raised to acknowledge; TaskReconciler one for each attempt that ended; ReplicaFeed one for each answer of the watch with its revision. At info the leader's line each 10 s has the counts of the term.

Ruled out: a line for each order or raised token at info; at the fleet's rates that is hundreds a second.

--- a/src/main/java/org/eiderstair/core/Core.java
+++ b/src/main/java/org/eiderstair/core/Core.java
@@ -93,6 +93,11 @@
         new PeerRequestHandler(sink, replica, leadership, stateServiceHealth, membership, standby);
   }
 
+  /** Sets whether log lines at level debug are written; frequent ones are left out otherwise. */
+  public void setDebugEnabled(boolean enabled) {
+    sink.setDebugEnabled(enabled);
+  }
+
   /** Processes one event, then performs all work that is due. */
   public void handle(Event event, long nowMicros) {
     process(event, nowMicros);
--- a/src/main/java/org/eiderstair/core/LeaderTerm.java
+++ b/src/main/java/org/eiderstair/core/LeaderTerm.java
@@ -243,7 +243,9 @@
             + "; "
             + capacity.summary()
             + "; standby "
-            + standby.summary());
+            + standby.summary()
+            + "; "
+            + workers.summary());
   }
 
   /**
--- a/src/main/java/org/eiderstair/core/message/EffectSink.java
+++ b/src/main/java/org/eiderstair/core/message/EffectSink.java
@@ -23,6 +23,7 @@
   private final Map<Long, PendingCall> pendingCalls = new HashMap<>();
   private ReplyObserver observer = (request, reply) -> {};
   private long lastCallId;
+  private boolean debugEnabled;
 
   public EffectSink(Consumer<Effect> output) {
     this.output = output;
@@ -69,6 +70,16 @@
     output.accept(new Effect.Log(Effect.Level.INFO, text));
   }
 
+  /** Sets whether lines at level DEBUG are written; they are not by default. */
+  public void setDebugEnabled(boolean enabled) {
+    debugEnabled = enabled;
+  }
+
+  /** Returns whether lines at level DEBUG are written, so that frequent ones need not be built. */
+  public boolean isDebugEnabled() {
+    return debugEnabled;
+  }
+
   /** Logs a line at level DEBUG. */
   public void debug(String text) {
     output.accept(new Effect.Log(Effect.Level.DEBUG, text));
--- a/src/main/java/org/eiderstair/core/model/MachineFence.java
+++ b/src/main/java/org/eiderstair/core/model/MachineFence.java
@@ -43,13 +43,17 @@
   }
 
   /**
-   * Raises the token so that it covers every launch by command. The outcome of each is known, so
-   * heartbeats with earlier tokens stay valid.
+   * Raises the token so that it covers every launch by command, unless it does already. The outcome
+   * of each is known, so heartbeats with earlier tokens stay valid.
+   *
+   * @return whether the token was raised
    */
-  public void coverLaunchCommands() {
-    if (launchCommanded) {
-      advance();
+  public boolean coverLaunchCommands() {
+    if (coversLaunchCommands()) {
+      return false;
     }
+    advance();
+    return true;
   }
 
   /** Raises the token because the outcome of a command is unknown until a heartbeat shows it. */
--- a/src/main/java/org/eiderstair/core/state/ReplicaFeed.java
+++ b/src/main/java/org/eiderstair/core/state/ReplicaFeed.java
@@ -185,6 +185,7 @@
       changed.changes().forEach(target::apply);
       freshness.advanceTo(changed.revision());
       freshness.recordAnswer(sentMicros, changed.revision());
+      logChanges(sentMicros, changed);
       // The delay lets one request deliver several changes that are close together.
       scheduleWatchAfter(changed.changes().isEmpty() ? 0 : settings.batchDelayMicros());
       openWatchIfDue();
@@ -201,6 +202,18 @@
     }
   }
 
+  private void logChanges(long sentMicros, Reply.Changed changed) {
+    if (sink.isDebugEnabled()) {
+      sink.debug(
+          "watch answered revision="
+              + changed.revision()
+              + " changes="
+              + changed.changes().size()
+              + " sent_micros="
+              + sentMicros);
+    }
+  }
+
   private void scheduleWatchAfter(long micros) {
     watchEnded = true;
     nextWatchMicros = now + micros;
--- a/src/main/java/org/eiderstair/core/workers/HeartbeatResponder.java
+++ b/src/main/java/org/eiderstair/core/workers/HeartbeatResponder.java
@@ -25,15 +25,20 @@
   private final EffectSink sink;
   private final WorkerRegistry registry;
   private final LaunchReplication launchReplication;
+  private final OrderLog orderLog;
   private final Set<Machine> pending = new LinkedHashSet<>();
   private boolean closed;
 
   HeartbeatResponder(
-      TermContext context, WorkerRegistry registry, LaunchReplication launchReplication) {
+      TermContext context,
+      WorkerRegistry registry,
+      LaunchReplication launchReplication,
+      OrderLog orderLog) {
     this.context = context;
     sink = context.sink();
     this.registry = registry;
     this.launchReplication = launchReplication;
+    this.orderLog = orderLog;
   }
 
   /**
@@ -102,17 +107,17 @@
     long exchange = machine.pendingHeartbeat().take();
     FencingToken fencingToken = machine.fencingToken();
     if (launches.isEmpty()) {
-      respondWithoutLaunches(exchange, fencingToken, orders);
+      respondWithoutLaunches(machine, exchange, fencingToken, orders);
       return;
     }
     launchReplication.send(
         launches,
-        () ->
-            sink.respond(
-                exchange,
-                new Answer.Command(fencingToken, WorkerOrders.withLaunches(orders, launches)),
-                context.leadership().bounds().launchEndMicros()),
-        () -> respondWithoutLaunches(exchange, fencingToken, orders));
+        () -> {
+          List<Order> all = WorkerOrders.withLaunches(orders, launches);
+          long deadlineMicros = context.leadership().bounds().launchEndMicros();
+          respond(machine, exchange, new Answer.Command(fencingToken, all), deadlineMicros);
+        },
+        () -> respondWithoutLaunches(machine, exchange, fencingToken, orders));
   }
 
   /**
@@ -121,23 +126,28 @@
    * again if a copy of its launch arrived with a valid token. While a command is in flight, the
    * raised token would refuse it, so the next answer carries the acknowledgements.
    */
-  private static List<Order> prepareAcknowledgements(Machine machine) {
+  private List<Order> prepareAcknowledgements(Machine machine) {
     if (machine.acknowledgements().isEmpty() || machine.commands().isInFlight()) {
       return List.of();
     }
-    machine.fence().coverLaunchCommands();
+    if (machine.fence().coverLaunchCommands()) {
+      orderLog.fenceRaisedToAcknowledge(machine);
+    }
     return List.copyOf(machine.acknowledgements());
   }
 
   private void respondWithoutLaunches(
-      long exchange, FencingToken fencingToken, List<Order> orders) {
+      Machine machine, long exchange, FencingToken fencingToken, List<Order> orders) {
     if (closed) {
       sink.respond(exchange, new Answer.Redirect(null));
       return;
     }
-    sink.respond(
-        exchange,
-        new Answer.Command(fencingToken, orders),
-        context.leadership().bounds().answerEndMicros());
+    long deadlineMicros = context.leadership().bounds().answerEndMicros();
+    respond(machine, exchange, new Answer.Command(fencingToken, orders), deadlineMicros);
+  }
+
+  private void respond(Machine machine, long exchange, Answer.Command answer, long deadlineMicros) {
+    orderLog.sent(machine, answer.fencingToken(), answer.orders(), OrderLog.Carrier.ANSWER);
+    sink.respond(exchange, answer, deadlineMicros);
   }
 }
--- a/src/main/java/org/eiderstair/core/workers/TaskReconciler.java
+++ b/src/main/java/org/eiderstair/core/workers/TaskReconciler.java
@@ -145,6 +145,7 @@
     Attempt known = machine.attempt(task);
     boolean isKnown = known != null && known.number() == entry.attempt();
     if (isKnown) {
+      logEnd(machine, entry);
       tracker.remove(known);
     }
     Job job = replica.job(task.job());
@@ -166,6 +167,24 @@
     }
   }
 
+  private void logEnd(Machine machine, Heartbeat.Entry entry) {
+    if (context.sink().isDebugEnabled()) {
+      context.debug(
+          "task="
+              + entry.task()
+              + " attempt="
+              + entry.attempt()
+              + " ended on machine="
+              + machine.id()
+              + " incarnation="
+              + machine.incarnation()
+              + " sequence="
+              + machine.sequence()
+              + " exit="
+              + entry.exit());
+    }
+  }
+
   private void recordCompletion(Machine machine, Job job) {
     machine.failures().reset();
     if (job.allTasksCompleted()) {
--- a/src/main/java/org/eiderstair/core/workers/WorkerCommandClient.java
+++ b/src/main/java/org/eiderstair/core/workers/WorkerCommandClient.java
@@ -38,6 +38,7 @@
   private final WorkerRegistry registry;
   private final AvailableMachines availableMachines;
   private final CommandQueue commandQueue;
+  private final OrderLog orderLog;
   private ReplyHandler replyHandler = (machine, heartbeat, noCommandInFlight) -> {};
   private boolean closed;
 
@@ -45,12 +46,14 @@
       TermContext context,
       WorkerRegistry registry,
       AvailableMachines availableMachines,
-      CommandQueue commandQueue) {
+      CommandQueue commandQueue,
+      OrderLog orderLog) {
     this.context = context;
     sink = context.sink();
     this.registry = registry;
     this.availableMachines = availableMachines;
     this.commandQueue = commandQueue;
+    this.orderLog = orderLog;
   }
 
   /** Sets the handler of the heartbeats in replies. */
@@ -86,12 +89,14 @@
    * commands.
    */
   void launch(Machine machine, Request.WorkerCommands request, List<Attempt> launches) {
+    orderLog.sent(machine, request.fencingToken(), request.orders(), OrderLog.Carrier.COMMAND);
     call(machine, request, launches, () -> {});
   }
 
   /** Sends a command with kills only. It may be repeated and may arrive in any order. */
   void kill(Machine machine, List<Order> kills) {
     machine.commands().beginKill();
+    orderLog.sent(machine, machine.fencingToken(), kills, OrderLog.Carrier.COMMAND);
     sink.call(
         new Request.WorkerCommands(
             machine.address(), machine.fencingToken(), machine.incarnation(), kills),
@@ -168,6 +173,7 @@
     }
     replyHandler.handle(machine, heartbeat, noCommandInFlight);
     if (!answer.executed()) {
+      orderLog.commandRefused();
       machine.commands().scheduleProbe(context.nowMicros());
     }
     return true;
@@ -190,6 +196,7 @@
     boolean confirmed = machine.phase() == Machine.Phase.CONFIRMED;
     if (confirmed || machine.phase() == Machine.Phase.RECOVERED) {
       machine.fence().raise();
+      orderLog.fenceRaisedWithoutReply();
       availableMachines.remove(machine);
       // This node may be unable to reach the machine while peers still relay its heartbeats.
       machine.holdUntil(context.nowMicros() + NO_REPLY_HOLD_MICROS);
--- a/src/main/java/org/eiderstair/core/workers/WorkerManager.java
+++ b/src/main/java/org/eiderstair/core/workers/WorkerManager.java
@@ -32,6 +32,7 @@
  *       LeaseMonitor} evaluate heartbeats and their absence.
  *   <li>{@link HeartbeatResponder}, {@link CommandSender} and {@link WorkerProber} send answers and
  *       commands to the machines.
+ *   <li>{@link OrderLog} counts and logs what the machines are told.
  *   <li>{@link WorkerRecovery} transfers the state at a failover.
  * </ul>
  */
@@ -44,6 +45,7 @@
   private final CommandQueue commandQueue = new CommandQueue();
   private final WorkerRegistry registry;
   private final AttemptTracker tracker;
+  private final OrderLog orderLog;
   private final LaunchReplication launchReplication;
   private final HeartbeatResponder responder;
   private final WorkerCommandClient commandClient;
@@ -73,9 +75,11 @@
     context = new TermContext(settings, sink, time, leadership, standby, term);
     registry = new WorkerRegistry(replica, context);
     tracker = new AttemptTracker(context, availableMachines, quotas, commandQueue);
+    orderLog = new OrderLog(context);
     launchReplication = new LaunchReplication(context, tracker, commandQueue);
-    responder = new HeartbeatResponder(context, registry, launchReplication);
-    commandClient = new WorkerCommandClient(context, registry, availableMachines, commandQueue);
+    responder = new HeartbeatResponder(context, registry, launchReplication, orderLog);
+    commandClient =
+        new WorkerCommandClient(context, registry, availableMachines, commandQueue, orderLog);
     commandSender = new CommandSender(context, commandQueue, launchReplication, commandClient);
     prober = new WorkerProber(context, registry, commandClient);
     drain = new MachineDrain(registry, tracker, commandQueue);
@@ -102,6 +106,11 @@
     return reachability;
   }
 
+  /** Returns the orders of this term by kind, for the leader's log line. */
+  public String summary() {
+    return orderLog.summary();
+  }
+
   /** Returns a read-only view of the machines by name. */
   public Map<String, Machine> machines() {
     return registry.machines();
--- a/src/main/java/org/eiderstair/node/CoreLoop.java
+++ b/src/main/java/org/eiderstair/node/CoreLoop.java
@@ -97,6 +97,11 @@
     return System.nanoTime() / 1000;
   }
 
+  /** Returns whether the core's log lines at level debug are written. */
+  static boolean isDebugEnabled() {
+    return LOG.isDebugEnabled();
+  }
+
   /** Executes an effect: writes log lines, and passes other effects to the attached consumer. */
   public void execute(Effect effect) {
     if (effect instanceof Effect.Log log) {
--- a/src/main/java/org/eiderstair/node/Node.java
+++ b/src/main/java/org/eiderstair/node/Node.java
@@ -70,6 +70,7 @@
             startMillis * 1000 - CoreLoop.nowMicros(),
             random::nextInt,
             loop::execute);
+    core.setDebugEnabled(CoreLoop.isDebugEnabled());
     loop.attach(core, effect -> execute(effect, loop, outbound, inbound));
     loop.setTimeoutCheck(outbound::expire);
     loop.setRefusedConnectionCounter(budget::takeRefusals);
--- a/src/test/java/org/eiderstair/sim/SimulatedController.java
+++ b/src/test/java/org/eiderstair/sim/SimulatedController.java
@@ -78,6 +78,7 @@
             0,
             cluster.random::nextInt,
             effect -> onEffect(effect, startedIncarnation));
+    core.setDebugEnabled(Boolean.getBoolean("sim.log"));
     tick(startedIncarnation);
   }
 
