core.state: a copy of an answered creation restores no removed key

What callers would see: the next leader finds a machine that is long gone in the list of registered workers and holds older tasks back until it is proven gone; or the record of a release that was cancelled, and deletes a machine that is in use; or that of a rental that was refused, and rents again.

The barrier was written anew after a transaction without an answer only. A copy of one that was answered and that only created keys holds again once its keys are removed, in the same term. Every other transaction moves a version that it requires itself: a job's end, progress (it requires the job's version) and each update or removal.

Evidence: StateWriterTest.copyOfAnAnsweredCreationDoesNotRestoreARemovedKey failed before ("the registration passes again").

Change: a batch that only creates keys writes the barrier too, whose version it requires; a batch keeps one write free until it needs none. Users' creations need nothing: jobs' keys are never removed. A batch never exceeds the limit of writes (fullBatchOfCreationsStaysWithinTheLimitOfWrites).

--- a/src/main/java/org/eiderstair/core/state/StateWriter.java
+++ b/src/main/java/org/eiderstair/core/state/StateWriter.java
@@ -169,6 +169,9 @@
     if (!batch.hasWrites()) {
       return;
     }
+    if (batch.isRepeatable()) {
+      batch.put(StateKeys.BARRIER, new BarrierRecord(term));
+    }
     writeBudget.take(batch.writes().size());
     transitionTo(State.WRITING);
     send(batch, reply -> handleTransactionReply(batch, reply));
--- a/src/main/java/org/eiderstair/core/state/WriteBatch.java
+++ b/src/main/java/org/eiderstair/core/state/WriteBatch.java
@@ -8,21 +8,31 @@
 /**
  * A builder of one transaction. Every write requires the known version of its key and may have a
  * callback that runs once the write is durable.
+ *
+ * <p>A transaction that only creates keys is repeatable: once the keys are removed again, a copy of
+ * it would be committed a second time. A batch keeps one write free until it changes a version that
+ * it requires, so that the owner can add such a change.
  */
 final class WriteBatch {
   private final List<Request.Condition> conditions = new ArrayList<>();
   private final List<Request.Write> writes = new ArrayList<>();
   private final List<Runnable> onDurable = new ArrayList<>();
   private int remainingWrites;
+  private boolean repeatable = true;
 
   /**
-   * @param remainingWrites how many writes the batch may hold
+   * @param maxWrites how many writes the batch may hold
    */
-  WriteBatch(int remainingWrites) {
-    this.remainingWrites = remainingWrites;
+  WriteBatch(int maxWrites) {
+    remainingWrites = maxWrites - 1;
   }
 
-  /** Returns how many more writes the batch may hold. */
+  /** Returns whether a copy of the transaction could be committed once its keys are removed. */
+  boolean isRepeatable() {
+    return repeatable;
+  }
+
+  /** Returns how many more writes can be reserved. */
   int remainingWrites() {
     return remainingWrites;
   }
@@ -49,14 +59,30 @@
 
   /** Adds a write of a value. */
   void put(String key, StoredValue value) {
+    noteWrite(key);
     writes.add(Request.Write.put(key, value));
   }
 
   /** Adds the removal of a key. */
   void remove(String key) {
+    noteWrite(key);
     writes.add(Request.Write.delete(key));
   }
 
+  private void noteWrite(String key) {
+    if (repeatable && requiresVersion(key)) {
+      repeatable = false;
+      remainingWrites++;
+    }
+  }
+
+  private boolean requiresVersion(String key) {
+    return conditions.stream()
+        .anyMatch(
+            condition ->
+                condition.key().equals(key) && condition.version() != Request.Condition.ABSENT);
+  }
+
   /**
    * Adds a callback that runs once the batch is durable, in the order in which callbacks were
    * added.
--- a/src/test/java/org/eiderstair/core/state/StateWriterTest.java
+++ b/src/test/java/org/eiderstair/core/state/StateWriterTest.java
@@ -1,10 +1,13 @@
 package org.eiderstair.core.state;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Function;
 import net.jqwik.api.Example;
 import org.eiderstair.core.LeaderFixture;
@@ -152,4 +155,57 @@
     assertEquals(null, applyNextTransaction().get(0).value());
     assertEquals(List.of("first", "second", "third", "removed"), durable);
   }
+
+  private static boolean holds(Request.Condition condition, Map<String, Long> versions) {
+    return versions.getOrDefault(condition.key(), Request.Condition.ABSENT) == condition.version();
+  }
+
+  /** Commits a transaction to the versions if its conditions hold; returns whether they do. */
+  private boolean commit(Request.StoreTransaction txn, Map<String, Long> versions) {
+    if (!txn.conditions().stream().allMatch(condition -> holds(condition, versions))) {
+      return false;
+    }
+    leader.lastVersion++;
+    for (Request.Write write : txn.writes()) {
+      versions.put(
+          write.key(), write.value() == null ? Request.Condition.ABSENT : leader.lastVersion);
+    }
+    return true;
+  }
+
+  /** Commits the next transaction of the writer and returns it. */
+  private Request.StoreTransaction commitNext(Map<String, Long> versions) {
+    return (Request.StoreTransaction)
+        answerNext(
+            request -> {
+              assertTrue(commit((Request.StoreTransaction) request, versions));
+              return new Reply.Applied(leader.lastVersion);
+            });
+  }
+
+  @Example
+  void copyOfAnAnsweredCreationDoesNotRestoreARemovedKey() {
+    Map<String, Long> versions = new HashMap<>(Map.of(StateKeys.LEADER, LeaderFixture.TERM));
+    String release = StateKeys.release("1-1");
+    stateWriter.register(new Machine("i-1", LeaderFixture.TERM, Machine.Phase.CONFIRMED, now));
+    Request.StoreTransaction registration = commitNext(versions);
+    stateWriter.putProvisioningRecord(release, release(1), () -> {});
+    Request.StoreTransaction creation = commitNext(versions);
+    stateWriter.unregister("i-1");
+    stateWriter.removeProvisioningRecord(release, () -> {});
+    commitNext(versions);
+    assertEquals(Request.Condition.ABSENT, versions.get(release));
+    assertFalse(commit(registration, versions), "the registration passes again");
+    assertFalse(commit(creation, versions), "the record's creation passes again");
+  }
+
+  @Example
+  void fullBatchOfCreationsStaysWithinTheLimitOfWrites() {
+    int limit = leader.settings.stateServiceLimits().maxWritesPerTransaction();
+    Map<String, Long> versions = new HashMap<>(Map.of(StateKeys.LEADER, LeaderFixture.TERM));
+    for (int i = 0; i < 2 * limit; i++) {
+      stateWriter.register(new Machine("i-" + i, LeaderFixture.TERM, Machine.Phase.CONFIRMED, now));
+    }
+    assertEquals(limit, commitNext(versions).writes().size());
+  }
 }
