Tests: kills and heartbeats beside a token raised to acknowledge

A kill that the raised token refuses is sent again, and a heartbeat with the token from before the raise still settles what an answer launched.

--- a/src/test/java/org/eiderstair/core/workers/DuplicateCommandTest.java
+++ b/src/test/java/org/eiderstair/core/workers/DuplicateCommandTest.java
@@ -232,4 +232,48 @@
     exchangeHeartbeat(FIRST, false);
     assertCopyOfLaunchIsRefused(failed);
   }
+
+  @Example
+  void killRefusedBecauseOfRaisedTokenIsSentAgain() {
+    Job ended = launchByCommand();
+    Job cancelled = leader.job("red", JobSpec.Priority.NORMAL, 1, 1);
+    runPass();
+    takeCommands().forEach(this::deliver);
+    leader.replica.applyCancellation(
+        new Cancellation(cancelled.id(), leader.lastVersion + 1_000, 0));
+    leader.workers.jobEnded(cancelled);
+    runPass();
+    List<Effect.Call> late = takeCommands();
+    workers.get(FIRST).end(task(ended), Exit.ERROR);
+    workers.get(FIRST).dropsKills = true;
+    exchangeHeartbeat(FIRST, false);
+    workers.get(FIRST).dropsKills = false;
+    late.forEach(this::deliver);
+    assertTrue(workers.get(FIRST).isActive(task(cancelled)), "the late kill is refused");
+    leader.now += SECOND_MICROS;
+    runPass();
+    takeCommands().forEach(this::deliver);
+    assertFalse(workers.get(FIRST).isActive(task(cancelled)));
+  }
+
+  @Example
+  void heartbeatWithTokenFromBeforeAnAcknowledgementStillSettlesLaunches() {
+    Job ended = launchByCommand();
+    ProtocolWorker worker = workers.get(FIRST);
+    worker.end(task(ended), Exit.ERROR);
+    moveToSecondMachine();
+    machine(SECOND).holdUntil(leader.now + 60 * SECOND_MICROS);
+    leader.workers.receive(leader.nextExchange(), worker.nextHeartbeat(), false, leader.now);
+    runPass();
+    assertTrue(machine(FIRST).fencingToken().compareTo(worker.fencingToken) > 0, "raised");
+    machine(FIRST).holdUntil(0);
+    Job next = leader.job("red", JobSpec.Priority.NORMAL, 1, 1);
+    leader.workers.receive(leader.nextExchange(), worker.nextHeartbeat(), false, leader.now);
+    runPass();
+    assertEquals(1, next.attemptCount(), "launched in an answer, which is lost");
+    machine(FIRST).holdUntil(leader.now + 60 * SECOND_MICROS);
+    leader.workers.receive(leader.nextExchange(), worker.nextHeartbeat(), false, leader.now);
+    assertEquals(Machine.Phase.CONFIRMED, machine(FIRST).phase());
+    assertEquals(0, next.attemptCount(), "the heartbeat shows that the launch was lost");
+  }
 }
