Tests: one way to start a controller and one to search, in place of copies

Three tests built a controller from the platform's settings in the same lines, and two searches of CommandSearchTest differed in their first steps only. The tests keep their assertions.

--- a/src/test/java/org/eiderstair/core/workers/CommandSearchTest.java
+++ b/src/test/java/org/eiderstair/core/workers/CommandSearchTest.java
@@ -122,28 +122,25 @@
     return "";
   }
 
-  @Example
-  void noMessageOrderViolatesARule() {
+  private void assertNoViolationAfter(List<String> firstSteps) {
     for (boolean withReplica : new boolean[] {false, true}) {
       for (int taskCount = 1; taskCount <= 2; taskCount++) {
         assertEquals(
             "",
-            search(taskCount, withReplica, Fault.NONE),
+            search(taskCount, withReplica, Fault.NONE, firstSteps),
             "tasks " + taskCount + ", replica " + withReplica);
       }
     }
   }
 
+  @Example
+  void noMessageOrderViolatesARule() {
+    assertNoViolationAfter(List.of());
+  }
+
   @Example
   void noCopyOfAnAnsweredLaunchViolatesARule() {
-    for (boolean withReplica : new boolean[] {false, true}) {
-      for (int taskCount = 1; taskCount <= 2; taskCount++) {
-        assertEquals(
-            "",
-            search(taskCount, withReplica, Fault.NONE, ANSWERED_LAUNCH),
-            "tasks " + taskCount + ", replica " + withReplica);
-      }
-    }
+    assertNoViolationAfter(ANSWERED_LAUNCH);
   }
 
   @Example
--- a/src/test/java/org/eiderstair/node/BadInputTest.java
+++ b/src/test/java/org/eiderstair/node/BadInputTest.java
@@ -12,8 +12,6 @@
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpMethod;
-import org.eiderstair.config.OperatorFile;
-import org.eiderstair.config.PlatformFile;
 import org.eiderstair.protocol.MessagePackCodec;
 import org.eiderstair.protocol.SampleMessages;
 
@@ -115,11 +113,7 @@
     http = new HttpClient();
     http.start();
     try (FakePlatform platform = new FakePlatform(0, 0);
-        Node node =
-            new Node(
-                PlatformFile.read(
-                    NodeTest.file(String.format(NodeTest.SETTINGS, platform.port())),
-                    OperatorFile.DEFAULTS))) {
+        Node node = NodeTest.start(platform)) {
       base = "http://127.0.0.1:" + node.port();
       int status = 0;
       for (int i = 0; i < 600 && status != 201; i++) {
--- a/src/test/java/org/eiderstair/node/DuplicateCommandNodeTest.java
+++ b/src/test/java/org/eiderstair/node/DuplicateCommandNodeTest.java
@@ -9,8 +9,6 @@
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpMethod;
-import org.eiderstair.config.OperatorFile;
-import org.eiderstair.config.PlatformFile;
 import org.eiderstair.protocol.MessagePackCodec;
 
 /** Runs a controller over real sockets and repeats a command that it sent to a worker. */
@@ -60,11 +58,7 @@
     HttpClient http = new HttpClient();
     http.start();
     try (FakePlatform platform = new FakePlatform(1, 0);
-        Node node =
-            new Node(
-                PlatformFile.read(
-                    NodeTest.file(String.format(NodeTest.SETTINGS, platform.port())),
-                    OperatorFile.DEFAULTS))) {
+        Node node = NodeTest.start(platform)) {
       String base = "http://127.0.0.1:" + node.port();
       await("the first job is accepted", () -> submit(http, base, FIRST_JOB) == 201);
       await(
--- a/src/test/java/org/eiderstair/node/NodeTest.java
+++ b/src/test/java/org/eiderstair/node/NodeTest.java
@@ -58,6 +58,12 @@
     return Files.writeString(file, text);
   }
 
+  /** Starts a controller that uses the platform. */
+  static Node start(FakePlatform platform) throws Exception {
+    return new Node(
+        PlatformFile.read(file(String.format(SETTINGS, platform.port())), OperatorFile.DEFAULTS));
+  }
+
   static Map<String, Object> job(String id) {
     return SampleMessages.submission(id, 1, 1.0);
   }
@@ -73,10 +79,7 @@
     HttpClient http = new HttpClient();
     http.start();
     try (FakePlatform platform = new FakePlatform(1, 0);
-        Node node =
-            new Node(
-                PlatformFile.read(
-                    file(String.format(SETTINGS, platform.port())), OperatorFile.DEFAULTS))) {
+        Node node = start(platform)) {
       String base = "http://127.0.0.1:" + node.port();
       int status = 0;
       for (int i = 0; i < MAX_TRIES && status != 201; i++) {
