core.workers: a task's next attempt waits for the last one's acknowledgement

Cause: since acknowledgements wait while a command is in flight, an answer could launch the next attempt of a task on the machine that still held the ended one. A worker that keeps one attempt a task forgets the ended one then, without a raised token. PROTOCOL does not say whether workers do so; the project's own worker does.

The directed test nextAttemptOnTheSameMachineWaitsForTheAcknowledgementOfTheLast fails without the change.

Change: a message that carries no acknowledgements leaves launches of the tasks concerned planned (Machine.takeLaunches); the next answer has both. Other launches wait for nothing.

--- a/src/main/java/org/eiderstair/core/model/Machine.java
+++ b/src/main/java/org/eiderstair/core/model/Machine.java
@@ -430,13 +430,22 @@
     plannedLaunches.remove(attempt);
   }
 
-  /** Removes and returns all planned launches, to be sent now. */
-  public List<Attempt> takeLaunches() {
+  /**
+   * Removes and returns the planned launches that can be sent now.
+   *
+   * @param acknowledges whether the message carries the acknowledgements. A worker may forget an
+   *     ended attempt when it starts another one of the same task, so without them the launches of
+   *     these tasks stay planned.
+   */
+  public List<Attempt> takeLaunches(boolean acknowledges) {
     if (plannedLaunches.isEmpty()) {
       return List.of();
     }
     List<Attempt> taken = new ArrayList<>(plannedLaunches);
-    plannedLaunches.clear();
+    if (!acknowledges) {
+      taken.removeIf(attempt -> acknowledgements.containsKey(attempt.task()));
+    }
+    plannedLaunches.removeAll(taken);
     return taken;
   }
 
--- a/src/main/java/org/eiderstair/core/workers/CommandSender.java
+++ b/src/main/java/org/eiderstair/core/workers/CommandSender.java
@@ -79,9 +79,16 @@
   }
 
   private void sendLaunches(Machine machine) {
-    List<Order> acknowledgements = acknowledgements(machine);
+    // A command does not raise the token itself, because it may overtake an answer, which the
+    // worker would then refuse.
+    boolean acknowledges = machine.fence().coversLaunchCommands();
     List<Attempt> launches =
-        launchReplication.takePlannedLaunches(machine, Attempt.SENT_BY_COMMAND);
+        launchReplication.takePlannedLaunches(machine, Attempt.SENT_BY_COMMAND, acknowledges);
+    if (launches.isEmpty()) {
+      return;
+    }
+    List<Order> acknowledgements =
+        acknowledges ? List.copyOf(machine.acknowledgements()) : List.of();
     FencingToken fencingToken = machine.fencingToken();
     long incarnation = machine.incarnation();
     machine.fence().recordLaunchCommand();
@@ -98,16 +105,6 @@
         () -> machine.commands().endCommand());
   }
 
-  /**
-   * Returns the acknowledgements that a command may carry. A command does not raise the token
-   * itself, because it may overtake an answer, which the worker would then refuse.
-   */
-  private static List<Order> acknowledgements(Machine machine) {
-    return machine.fence().coversLaunchCommands()
-        ? List.copyOf(machine.acknowledgements())
-        : List.of();
-  }
-
   private void sendKills(Machine machine) {
     machine.commands().clearKills();
     List<Order> kills = WorkerOrders.kills(machine);
--- a/src/main/java/org/eiderstair/core/workers/HeartbeatResponder.java
+++ b/src/main/java/org/eiderstair/core/workers/HeartbeatResponder.java
@@ -97,10 +97,14 @@
 
   private void answer(Machine machine, boolean mayLaunch) {
     List<Order> orders = WorkerOrders.kills(machine);
-    orders.addAll(prepareAcknowledgements(machine));
+    boolean acknowledges = prepareAcknowledgements(machine);
+    if (acknowledges) {
+      orders.addAll(machine.acknowledgements());
+    }
     List<Attempt> launches =
         mayLaunch && machine.phase() == Machine.Phase.CONFIRMED
-            ? launchReplication.takePlannedLaunches(machine, machine.pendingHeartbeat().sequence())
+            ? launchReplication.takePlannedLaunches(
+                machine, machine.pendingHeartbeat().sequence(), acknowledges)
             : List.of();
     registry.renewLease(machine);
     machine.commands().clearKills();
@@ -121,19 +125,24 @@
   }
 
   /**
-   * Returns the acknowledgements that the answer may carry, after raising the fencing token above
-   * that of every launch by command. A worker forgets an acknowledged attempt, and would start it
-   * again if a copy of its launch arrived with a valid token. While a command is in flight, the
-   * raised token would refuse it, so the next answer carries the acknowledgements.
+   * Raises the fencing token above that of every launch by command, so that the answer may carry
+   * acknowledgements. A worker forgets an acknowledged attempt, and would start it again if a copy
+   * of its launch arrived with a valid token. While a command is in flight, the raised token would
+   * refuse it, so the next answer carries the acknowledgements.
+   *
+   * @return whether the answer may carry all acknowledgements
    */
-  private List<Order> prepareAcknowledgements(Machine machine) {
-    if (machine.acknowledgements().isEmpty() || machine.commands().isInFlight()) {
-      return List.of();
+  private boolean prepareAcknowledgements(Machine machine) {
+    if (machine.acknowledgements().isEmpty()) {
+      return true;
+    }
+    if (machine.commands().isInFlight()) {
+      return false;
     }
     if (machine.fence().coverLaunchCommands()) {
       orderLog.fenceRaisedToAcknowledge(machine);
     }
-    return List.copyOf(machine.acknowledgements());
+    return true;
   }
 
   private void respondWithoutLaunches(
--- a/src/main/java/org/eiderstair/core/workers/LaunchReplication.java
+++ b/src/main/java/org/eiderstair/core/workers/LaunchReplication.java
@@ -27,14 +27,16 @@
   }
 
   /**
-   * Removes the planned launches of a machine, marks them as sent and replicates them.
+   * Removes the planned launches of a machine that can be sent, marks them as sent and replicates
+   * them.
    *
    * @param sequence the sequence of the heartbeat whose answer carries the launches, or {@link
    *     Attempt#SENT_BY_COMMAND}
-   * @return the launches; empty if none is planned
+   * @param acknowledges whether the message carries the machine's acknowledgements
+   * @return the launches; empty if none can be sent
    */
-  List<Attempt> takePlannedLaunches(Machine machine, long sequence) {
-    List<Attempt> launches = machine.takeLaunches();
+  List<Attempt> takePlannedLaunches(Machine machine, long sequence, boolean acknowledges) {
+    List<Attempt> launches = machine.takeLaunches(acknowledges);
     for (Attempt attempt : launches) {
       attempt.markSent(sequence);
       tracker.replicate(attempt, true);
--- a/src/test/java/org/eiderstair/core/LeaderFixture.java
+++ b/src/test/java/org/eiderstair/core/LeaderFixture.java
@@ -380,7 +380,7 @@
     for (Machine machine : workers.machines().values()) {
       // The check avoids an iterator for each machine, which would add to AllocationTest's figures.
       if (!machine.plannedLaunches().isEmpty()) {
-        machine.takeLaunches().forEach(attempt -> attempt.markSent(Attempt.SENT_BY_COMMAND));
+        machine.takeLaunches(true).forEach(attempt -> attempt.markSent(Attempt.SENT_BY_COMMAND));
       }
     }
   }
--- a/src/test/java/org/eiderstair/core/placement/PlacementTest.java
+++ b/src/test/java/org/eiderstair/core/placement/PlacementTest.java
@@ -101,7 +101,7 @@
         .forEach(
             a -> {
               a.markReported();
-              a.machine().takeLaunches();
+              a.machine().takeLaunches(true);
             });
   }
 
--- a/src/test/java/org/eiderstair/core/workers/DuplicateCommandTest.java
+++ b/src/test/java/org/eiderstair/core/workers/DuplicateCommandTest.java
@@ -13,6 +13,7 @@
 import org.eiderstair.core.LeaderFixture;
 import org.eiderstair.core.message.Answer;
 import org.eiderstair.core.message.Effect;
+import org.eiderstair.core.message.Reply;
 import org.eiderstair.core.message.Request;
 import org.eiderstair.core.model.Cancellation;
 import org.eiderstair.core.model.Heartbeat.Exit;
@@ -276,4 +277,25 @@
     assertEquals(Machine.Phase.CONFIRMED, machine(FIRST).phase());
     assertEquals(0, next.attemptCount(), "the heartbeat shows that the launch was lost");
   }
+
+  @Example
+  void nextAttemptOnTheSameMachineWaitsForTheAcknowledgementOfTheLast() {
+    machine(SECOND).holdUntil(leader.now + 60 * SECOND_MICROS);
+    Job job = leader.job("red", JobSpec.Priority.NORMAL, 1, 1);
+    runPass();
+    Effect.Call launch = takeCommands().get(0);
+    ProtocolWorker worker = workers.get(FIRST);
+    Reply.WorkerStatus lateReply = worker.receive(request(launch));
+    executed.add(launch);
+    worker.end(task(job), Exit.ERROR);
+    exchangeHeartbeat(FIRST, false);
+    assertFalse(worker.isActive(task(job)), "the acknowledgement cannot be sent yet");
+    leader.sink.replied(launch.callId(), lateReply);
+    leader.now += 5 * SECOND_MICROS;
+    exchangeHeartbeat(FIRST, false);
+    runPass();
+    takeCommands().forEach(this::deliver);
+    assertTrue(worker.isActive(task(job)), "the next attempt runs");
+    assertCopyOfLaunchIsRefused(job);
+  }
 }
