--- a/src/main/java/org/eiderstair/core/model/Machine.java
+++ b/src/main/java/org/eiderstair/core/model/Machine.java
@@ -441,11 +441,14 @@
     if (plannedLaunches.isEmpty()) {
       return List.of();
     }
-    List<Attempt> taken = new ArrayList<>(plannedLaunches);
-    if (!acknowledges) {
-      taken.removeIf(attempt -> acknowledgements.containsKey(attempt.task()));
+    List<Attempt> taken = new ArrayList<>();
+    List<Attempt> kept = new ArrayList<>();
+    for (Attempt attempt : plannedLaunches) {
+      boolean waits = !acknowledges && acknowledgements.containsKey(attempt.task());
+      (waits ? kept : taken).add(attempt);
     }
-    plannedLaunches.removeAll(taken);
+    plannedLaunches.clear();
+    plannedLaunches.addAll(kept);
     return taken;
   }
 
