Tests: the search tells fences apart; repeated pieces call what there was

StateKey left out two parts of MachineFence (whether the worker's token confirms, whether launches by command are covered), so CommandSearchTest could take two different states for one: it is stricter now. RequestTransport delivers a copy by the method that delivers a command; CommandSimulation asks in one place whether orders hold a launch, DuplicateCommandTest cancels in one.

--- a/src/test/java/org/eiderstair/core/workers/CommandSimulation.java
+++ b/src/test/java/org/eiderstair/core/workers/CommandSimulation.java
@@ -290,8 +290,7 @@
 
   private void deliverCommand(InFlightCommand command) {
     command.reply = worker.receive(command.request);
-    if (command.reply.executed()
-        && command.request.orders().stream().anyMatch(o -> o instanceof Order.Launch)) {
+    if (command.reply.executed() && containsLaunch(command.request.orders())) {
       executed.add(command.request);
     }
     if (command.givenUp) {
@@ -326,9 +325,7 @@
   }
 
   private void checkLaunches(int leaderIndex, List<Order> orders) {
-    if (cancelled
-        && leaderIndex == newestIndex()
-        && orders.stream().anyMatch(o -> o instanceof Order.Launch)) {
+    if (cancelled && leaderIndex == newestIndex() && containsLaunch(orders)) {
       violations.add("launched a task of a cancelled job");
     }
   }
@@ -395,6 +392,10 @@
                     && worker.wouldStart(order));
   }
 
+  private static boolean containsLaunch(List<Order> orders) {
+    return orders.stream().anyMatch(o -> o instanceof Order.Launch);
+  }
+
   private static boolean containsLaunch(List<Order> orders, TaskId task) {
     return orders.stream().anyMatch(o -> o instanceof Order.Launch && o.task().equals(task));
   }
--- a/src/test/java/org/eiderstair/core/workers/DuplicateCommandTest.java
+++ b/src/test/java/org/eiderstair/core/workers/DuplicateCommandTest.java
@@ -112,6 +112,11 @@
     return job;
   }
 
+  private void cancel(Job job) {
+    leader.replica.applyCancellation(new Cancellation(job.id(), leader.lastVersion + 1_000, 0));
+    leader.workers.jobEnded(job);
+  }
+
   private static TaskId task(Job job) {
     return new TaskId(job.id(), 0);
   }
@@ -169,8 +174,7 @@
   @Example
   void copyOfAnsweredLaunchDoesNotStartCancelledTask() {
     Job job = launchByCommand();
-    leader.replica.applyCancellation(new Cancellation(job.id(), leader.lastVersion + 1_000, 0));
-    leader.workers.jobEnded(job);
+    cancel(job);
     runPass();
     takeCommands().forEach(this::deliver);
     exchangeHeartbeat(FIRST, false);
@@ -240,9 +244,7 @@
     Job cancelled = leader.job("red", JobSpec.Priority.NORMAL, 1, 1);
     runPass();
     takeCommands().forEach(this::deliver);
-    leader.replica.applyCancellation(
-        new Cancellation(cancelled.id(), leader.lastVersion + 1_000, 0));
-    leader.workers.jobEnded(cancelled);
+    cancel(cancelled);
     runPass();
     List<Effect.Call> late = takeCommands();
     workers.get(FIRST).end(task(ended), Exit.ERROR);
--- a/src/test/java/org/eiderstair/core/workers/StateKey.java
+++ b/src/test/java/org/eiderstair/core/workers/StateKey.java
@@ -101,6 +101,8 @@
         .append(job.state());
     key.append(machine.phase())
         .append(machine.fencingToken())
+        .append(machine.fence().isConfirmedBy(simulation.worker.fencingToken))
+        .append(machine.fence().coversLaunchCommands())
         .append(machine.commands().isInFlight())
         .append(machine.commands().isKillInFlight())
         .append(machine.commands().areKillsPending());
--- a/src/test/java/org/eiderstair/sim/RequestTransport.java
+++ b/src/test/java/org/eiderstair/sim/RequestTransport.java
@@ -100,30 +100,26 @@
     cluster.network.send(
         from.name(),
         worker,
-        () -> cluster.clock.after(delayMicros, () -> deliver(worker, request, onReply)));
+        () ->
+            cluster.clock.after(
+                delayMicros,
+                () ->
+                    deliver(
+                        worker,
+                        request,
+                        onReply.andThen(reply -> duplicateIfExecuted(worker, request, reply)))));
   }
 
   private void deliver(String worker, Request request, Consumer<Reply> callback) {
     SimulatedWorker receiver = cluster.cloud.worker(worker);
     if (receiver != null) {
-      receiver.receive(
-          request,
-          reply -> {
-            callback.accept(reply);
-            duplicateIfExecuted(worker, request, reply);
-          });
+      receiver.receive(request, callback);
     }
   }
 
   private void duplicateIfExecuted(String worker, Request request, Reply reply) {
     if (reply instanceof Reply.WorkerStatus status && status.executed()) {
-      cluster.faults.onCommandExecuted(
-          () -> {
-            SimulatedWorker receiver = cluster.cloud.worker(worker);
-            if (receiver != null) {
-              receiver.receive(request, unanswered -> {});
-            }
-          });
+      cluster.faults.onCommandExecuted(() -> deliver(worker, request, unanswered -> {}));
     }
   }
 
