core.workers: a machine that is back with a new worker keeps its tasks until it shows

What could happen: a machine is back within a second with a worker whose numbers begin again (Watch 1, Tally 0, Baton 0).

Cause: a proof from time ("lease expired") that held for one worker and was used for its successor. Class: an action on stale knowledge.

Change: a heartbeat that looks old is a reason to ask. A reply to one's own command is never older than the command, so lower numbers in it show a new worker, as does a newer heartbeat with a forgotten token. Then the fence is raised, the lease counts from now, and nothing is concluded until the raised token is shown; what does not show then has ended. A launch by command, answered or given up, restarts the lease as the controllers count it, because a worker may have begun its lease just before.

--- a/src/main/java/org/eiderstair/core/model/Machine.java
+++ b/src/main/java/org/eiderstair/core/model/Machine.java
@@ -322,6 +322,24 @@
     sequence = newSequence;
   }
 
+  /**
+   * Replaces the numbers of the worker by those of another worker on the same machine. Launches in
+   * answers to heartbeats of the previous worker reach no one, so any answered heartbeat of the new
+   * one shows that they are gone.
+   */
+  public void restartWorker(Heartbeat heartbeat) {
+    advanceTo(heartbeat.incarnation(), heartbeat.sequence());
+    fence.raise();
+    fence.recordReported(heartbeat.fencingToken());
+    forgetImages();
+    for (Attempt attempt : attempts.values()) {
+      if (attempt.phase() == Attempt.Phase.SENT
+          && attempt.sentSequence() != Attempt.SENT_BY_COMMAND) {
+        attempt.markSent(0);
+      }
+    }
+  }
+
   /** Sets the incarnation from the standby's replica, which does not contain heartbeats. */
   public void recoverIncarnation(long knownIncarnation) {
     incarnation = knownIncarnation;
--- a/src/main/java/org/eiderstair/core/model/MachineFence.java
+++ b/src/main/java/org/eiderstair/core/model/MachineFence.java
@@ -8,6 +8,7 @@
 public final class MachineFence {
   private FencingToken token;
   private FencingToken confirmingToken;
+  private FencingToken reported = FencingToken.NONE;
   private boolean launchCommanded;
 
   MachineFence(FencingToken first) {
@@ -28,6 +29,19 @@
     return reported.isAtLeast(confirmingToken);
   }
 
+  /** Records the token in the newest heartbeat of the machine. */
+  public void recordReported(FencingToken newest) {
+    reported = newest;
+  }
+
+  /**
+   * Returns whether the newest heartbeat showed a higher token than this one. A worker never
+   * forgets a token, so the one that reports this token is another worker on the same machine.
+   */
+  public boolean isForgottenBy(FencingToken newest) {
+    return !newest.isAtLeast(reported);
+  }
+
   /** Records that a launch is sent by command with the current token. */
   public void recordLaunchCommand() {
     launchCommanded = true;
--- a/src/main/java/org/eiderstair/core/workers/HeartbeatHandler.java
+++ b/src/main/java/org/eiderstair/core/workers/HeartbeatHandler.java
@@ -24,6 +24,7 @@
   private final StateWriter stateWriter;
   private final WorkerRegistry registry;
   private final AttemptTracker tracker;
+  private final AvailableMachines availableMachines;
   private final HeartbeatResponder responder;
   private final WorkerProber prober;
   private final WorkerReachability reachability;
@@ -35,6 +36,7 @@
       StateWriter stateWriter,
       WorkerRegistry registry,
       AttemptTracker tracker,
+      AvailableMachines availableMachines,
       HeartbeatResponder responder,
       WorkerProber prober,
       WorkerReachability reachability,
@@ -45,6 +47,7 @@
     this.stateWriter = stateWriter;
     this.registry = registry;
     this.tracker = tracker;
+    this.availableMachines = availableMachines;
     this.responder = responder;
     this.prober = prober;
     this.reachability = reachability;
@@ -83,9 +86,11 @@
             .pendingHeartbeat()
             .freshness(heartbeat.incarnation(), heartbeat.sequence(), machine.incarnation());
     if (freshness != PendingHeartbeat.Freshness.CURRENT) {
-      // A duplicate or delayed heartbeat that the worker no longer waits for. It proves nothing,
-      // renews no lease and launches no task.
+      // A duplicate or delayed heartbeat that the worker no longer waits for, or one of another
+      // worker on the same machine. It proves nothing, renews no lease and launches no task; the
+      // reply to a probe tells which of the two it is.
       responder.refuse(exchange, freshness.refusalReason());
+      prober.ask(machine);
       return;
     }
     if (!relayed) {
@@ -105,9 +110,19 @@
    * Processes the heartbeat in a machine's reply to a command.
    *
    * @param noCommandInFlight whether no launch by command can still arrive at the machine
+   * @param newestWhenAsked the newest heartbeat that was known when the command was sent. The
+   *     worker wrote the reply later, so lower numbers in it are those of another worker.
    */
-  void receiveReply(Machine machine, Heartbeat heartbeat, boolean noCommandInFlight) {
-    process(machine, heartbeat, false, noCommandInFlight);
+  void receiveReply(
+      Machine machine,
+      Heartbeat heartbeat,
+      boolean noCommandInFlight,
+      HeartbeatNumber newestWhenAsked) {
+    if (newestWhenAsked.isFollowedBy(heartbeat)) {
+      process(machine, heartbeat, false, noCommandInFlight);
+    } else {
+      beginWithNewWorker(machine, heartbeat);
+    }
   }
 
   private Machine findOrAdd(Heartbeat heartbeat) {
@@ -148,8 +163,14 @@
     if (!heartbeat.isNewerThan(machine.incarnation(), machine.sequence())) {
       return;
     }
+    if (heartbeat.incarnation() == machine.incarnation()
+        && machine.fence().isForgottenBy(heartbeat.fencingToken())) {
+      beginWithNewWorker(machine, heartbeat);
+      return;
+    }
     machine.recordContact(context.nowMicros());
     updateIncarnation(machine, heartbeat);
+    machine.fence().recordReported(heartbeat.fencingToken());
     if (heartbeat.noticeMicros() != Heartbeat.NO_NOTICE && machine.plan() == Machine.Plan.ACTIVE) {
       context.info("machine=" + machine.id() + " received a preemption notice");
       drain.drainForPreemption(machine, heartbeat.noticeMicros());
@@ -171,6 +192,45 @@
     tracker.requestPlacement();
   }
 
+  /**
+   * Handles a heartbeat of a worker that has taken the place of the known one and whose numbers
+   * began again: the machine was restarted, or an earlier worker's heartbeat was delayed. What ran
+   * before has ended, but commands to the earlier worker may still be executed. So nothing is
+   * concluded until the machine shows a raised token.
+   */
+  private void beginWithNewWorker(Machine machine, Heartbeat heartbeat) {
+    context.info(
+        "machine="
+            + machine.id()
+            + " has a new worker: incarnation="
+            + heartbeat.incarnation()
+            + " sequence="
+            + heartbeat.sequence()
+            + " fencing_token="
+            + heartbeat.fencingToken()
+            + " known_incarnation="
+            + machine.incarnation()
+            + " known_sequence="
+            + machine.sequence());
+    machine.recordContact(context.nowMicros());
+    responder.dropEarlierIncarnation(machine);
+    machine.restartWorker(heartbeat);
+    replicateIncarnation(machine);
+    registry.renewLease(machine);
+    availableMachines.remove(machine);
+    if (!mayHoldEarlierWork(machine)) {
+      registry.changePhase(machine, Machine.Phase.FENCING);
+    }
+    machine.commands().scheduleProbe(context.nowMicros());
+  }
+
+  private void replicateIncarnation(Machine machine) {
+    context
+        .standby()
+        .replicate(
+            new ReplicationBatch.Change(true, machine.id(), machine.incarnation(), "", 0, 0));
+  }
+
   private void updateIncarnation(Machine machine, Heartbeat heartbeat) {
     if (heartbeat.incarnation() > machine.incarnation() && machine.incarnation() > 0) {
       context.info("machine=" + machine.id() + " started incarnation=" + heartbeat.incarnation());
@@ -180,13 +240,11 @@
       // last answered.
       registry.renewLease(machine);
     }
-    if (heartbeat.incarnation() != machine.incarnation()) {
-      context
-          .standby()
-          .replicate(
-              new ReplicationBatch.Change(true, machine.id(), heartbeat.incarnation(), "", 0, 0));
-    }
+    boolean changed = heartbeat.incarnation() != machine.incarnation();
     machine.advanceTo(heartbeat.incarnation(), heartbeat.sequence());
+    if (changed) {
+      replicateIncarnation(machine);
+    }
   }
 
   private void confirm(Machine machine) {
--- a/src/main/java/org/eiderstair/core/workers/WorkerCommandClient.java
+++ b/src/main/java/org/eiderstair/core/workers/WorkerCommandClient.java
@@ -22,8 +22,13 @@
      *
      * @param noCommandInFlight whether no launch by command can still be in flight, so that the
      *     heartbeat shows the outcome of every command
+     * @param newestWhenAsked the newest heartbeat that was known when the command was sent
      */
-    void handle(Machine machine, Heartbeat heartbeat, boolean noCommandInFlight);
+    void handle(
+        Machine machine,
+        Heartbeat heartbeat,
+        boolean noCommandInFlight,
+        HeartbeatNumber newestWhenAsked);
   }
 
   /** How long a machine that did not reply to a launch gets no further launch. */
@@ -39,7 +44,7 @@
   private final AvailableMachines availableMachines;
   private final CommandQueue commandQueue;
   private final OrderLog orderLog;
-  private ReplyHandler replyHandler = (machine, heartbeat, noCommandInFlight) -> {};
+  private ReplyHandler replyHandler = (machine, heartbeat, noCommandInFlight, asked) -> {};
   private boolean closed;
 
   WorkerCommandClient(
@@ -96,21 +101,23 @@
   /** Sends a command with kills only. It may be repeated and may arrive in any order. */
   void kill(Machine machine, List<Order> kills) {
     machine.commands().beginKill();
+    HeartbeatNumber newestWhenAsked = HeartbeatNumber.newestOf(machine);
     orderLog.sent(machine, machine.fencingToken(), kills, OrderLog.Carrier.COMMAND);
     sink.call(
         new Request.WorkerCommands(
             machine.address(), machine.fencingToken(), machine.incarnation(), kills),
         context.leadership().bounds().answerEndMicros(),
-        reply -> handleKillReply(machine, reply));
+        reply -> handleKillReply(machine, newestWhenAsked, reply));
   }
 
-  private void handleKillReply(Machine machine, Reply reply) {
+  private void handleKillReply(Machine machine, HeartbeatNumber newestWhenAsked, Reply reply) {
     machine.commands().endKill();
     if (ignoresReplies(machine)) {
       return;
     }
     // The worker may have written the reply before a command that is still in flight arrives.
-    boolean replied = processReply(machine, reply, !machine.commands().isInFlight());
+    boolean replied =
+        processReply(machine, reply, !machine.commands().isInFlight(), newestWhenAsked);
     if (!replied || !isExecuted(reply)) {
       machine.commands().delayKillsUntil(context.nowMicros() + KILL_RETRY_DELAY_MICROS);
       commandQueue.scheduleKills(machine);
@@ -123,17 +130,19 @@
 
   private void call(Machine machine, Request request, List<Attempt> launches, Runnable onEnd) {
     LeadershipBounds bounds = context.leadership().bounds();
+    HeartbeatNumber newestWhenAsked = HeartbeatNumber.newestOf(machine);
     sink.call(
         request,
         launches.isEmpty() ? bounds.answerEndMicros() : bounds.launchEndMicros(),
         reply -> {
           machine.commands().endCommand();
           onEnd.run();
-          handleReply(machine, launches, reply);
+          handleReply(machine, launches, newestWhenAsked, reply);
         });
   }
 
-  private void handleReply(Machine machine, List<Attempt> launches, Reply reply) {
+  private void handleReply(
+      Machine machine, List<Attempt> launches, HeartbeatNumber newestWhenAsked, Reply reply) {
     if (ignoresReplies(machine)) {
       return;
     }
@@ -141,7 +150,12 @@
       // A kill that was sent in the meantime may have arrived before the launch.
       commandQueue.scheduleKills(machine);
     }
-    if (!processReply(machine, reply, true)) {
+    if (!launches.isEmpty()) {
+      // The launch may have been executed until now, by a worker that had begun its lease just
+      // then.
+      registry.renewLease(machine);
+    }
+    if (!processReply(machine, reply, true, newestWhenAsked)) {
       handleNoReply(machine, !launches.isEmpty(), reply);
     }
   }
@@ -155,7 +169,8 @@
    *
    * @return false if the reply contains no heartbeat of this machine
    */
-  private boolean processReply(Machine machine, Reply reply, boolean noCommandInFlight) {
+  private boolean processReply(
+      Machine machine, Reply reply, boolean noCommandInFlight, HeartbeatNumber newestWhenAsked) {
     if (!(reply instanceof Reply.WorkerStatus answer)
         || !answer.heartbeat().machine().equals(machine.id())) {
       return false;
@@ -171,7 +186,7 @@
                   + heartbeat.fencingToken());
       return true;
     }
-    replyHandler.handle(machine, heartbeat, noCommandInFlight);
+    replyHandler.handle(machine, heartbeat, noCommandInFlight, newestWhenAsked);
     if (!answer.executed()) {
       orderLog.commandRefused();
       machine.commands().scheduleProbe(context.nowMicros());
--- a/src/main/java/org/eiderstair/core/workers/WorkerManager.java
+++ b/src/main/java/org/eiderstair/core/workers/WorkerManager.java
@@ -93,6 +93,7 @@
             stateWriter,
             registry,
             tracker,
+            availableMachines,
             responder,
             prober,
             reachability,
--- a/src/main/java/org/eiderstair/core/workers/WorkerProber.java
+++ b/src/main/java/org/eiderstair/core/workers/WorkerProber.java
@@ -1,7 +1,10 @@
 package org.eiderstair.core.workers;
 
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.eiderstair.core.model.Machine;
 
 /**
@@ -37,6 +40,9 @@
   /** The send time of each probe in flight, by machine; the earliest probe comes first. */
   private final Map<Machine, Long> inFlight = new LinkedHashMap<>();
 
+  /** Confirmed machines that sent a heartbeat which looked old, and are to be asked. */
+  private final Set<Machine> doubted = new LinkedHashSet<>();
+
   private int recentProbes;
   private long nextRoundMicros;
 
@@ -51,10 +57,22 @@
     machine.commands().scheduleProbe(context.nowMicros() + PROBE_INTERVAL_MICROS);
   }
 
-  /** Probes the unconfirmed, recovered and fenced machines that are due, within the limits. */
+  /**
+   * Asks a machine for its state, because its heartbeat looked old: it was delayed, or another
+   * worker has taken the place of the known one. A reply is never older than its probe.
+   */
+  void ask(Machine machine) {
+    if (machine.isStateKnown() || machine.phase() == Machine.Phase.LEASE_EXPIRED) {
+      doubted.add(machine);
+    }
+  }
+
+  /**
+   * Probes the unconfirmed, recovered, fenced and doubted machines that are due, within the limits.
+   */
   void probeDue() {
     long now = context.nowMicros();
-    if (now < nextRoundMicros || registry.areAllConfirmed()) {
+    if (now < nextRoundMicros || (registry.areAllConfirmed() && doubted.isEmpty())) {
       return;
     }
     nextRoundMicros = now + ROUND_INTERVAL_MICROS;
@@ -65,6 +83,8 @@
     registry.fencing().forEach(this::probeIfDue);
     registry.unconfirmed().forEach(this::probeIfDue);
     registry.recovered().forEach(this::probeIfDue);
+    doubted.removeIf(machine -> machine.phase() == Machine.Phase.TERMINATED);
+    List.copyOf(doubted).forEach(this::probeIfDue);
   }
 
   private void probeIfDue(Machine machine) {
@@ -76,6 +96,7 @@
     if (due && possible && recentProbes < MAX_RECENT_PROBES && inFlight.size() < MAX_PROBES) {
       postpone(machine);
       recentProbes++;
+      doubted.remove(machine);
       inFlight.put(machine, context.nowMicros());
       client.probe(machine, () -> inFlight.remove(machine));
     }
--- a/src/test/java/org/eiderstair/sim/DrawnFaultScenariosTest.java
+++ b/src/test/java/org/eiderstair/sim/DrawnFaultScenariosTest.java
@@ -27,6 +27,13 @@
   private static final int LATE_COMMAND_DAYS = Integer.getInteger("drawn.late", 1);
   private static final int DUPLICATE_COMMAND_DAYS = Integer.getInteger("drawn.duplicate", 1);
   private static final long DUPLICATE_COMMAND_SEED_OFFSET = 1_000_000;
+  private static final int VERY_LATE_COMMAND_DAYS = Integer.getInteger("drawn.verylate", 1);
+  private static final long VERY_LATE_COMMAND_SEED_OFFSET = 2_000_000;
+  private static final int LATE_CLOUD_DAYS = Integer.getInteger("drawn.latecloud", 1);
+  private static final long LATE_CLOUD_SEED_OFFSET = 3_000_000;
+  private static final int RESTART_DAYS = Integer.getInteger("drawn.restart", 1);
+  private static final long RESTART_SEED_OFFSET = 4_000_000;
+  private static final long BEGIN_AGAIN_SEED_OFFSET = 5_000_000;
   private static final FaultInjector.Kind[] KINDS = FaultInjector.Kind.values();
   private static final int FAULT_GROUPS = 3;
   private static final int MAX_DETECTION_DAYS = 12;
@@ -130,6 +137,42 @@
         DUPLICATE_COMMAND_SEED_OFFSET);
   }
 
+  @Example
+  void noTaskRunsLongAfterItsCancellationWhenCommandsArriveMinutesLate() {
+    assertNoRuleBreaksWith(
+        FaultInjector.Kind.VERY_LATE_COMMANDS,
+        "noTaskRunsLongAfter* -Ddrawn.verylate=1",
+        VERY_LATE_COMMAND_DAYS,
+        VERY_LATE_COMMAND_SEED_OFFSET);
+  }
+
+  @Example
+  void noMachineRunsUnknownTasksWhenRentalsAndDeletionsAreLate() {
+    assertNoRuleBreaksWith(
+        FaultInjector.Kind.LATE_CLOUD_CHANGES,
+        "noMachineRunsUnknownTasksWhenRentals* -Ddrawn.latecloud=1",
+        LATE_CLOUD_DAYS,
+        LATE_CLOUD_SEED_OFFSET);
+  }
+
+  @Example
+  void noMachineRunsUnknownTasksWhenWorkersRestart() {
+    assertNoRuleBreaksWith(
+        FaultInjector.Kind.WORKERS_RESTART,
+        "noMachineRunsUnknownTasksWhenWorkersRestart -Ddrawn.restart=1",
+        RESTART_DAYS,
+        RESTART_SEED_OFFSET);
+  }
+
+  @Example
+  void noMachineRunsUnknownTasksWhenWorkersBeginAgain() {
+    assertNoRuleBreaksWith(
+        FaultInjector.Kind.WORKERS_BEGIN_AGAIN,
+        "noMachineRunsUnknownTasksWhenWorkersBegin* -Ddrawn.restart=1",
+        RESTART_DAYS,
+        BEGIN_AGAIN_SEED_OFFSET);
+  }
+
   /**
    * Plays days with a kind of fault and each other kind.
    *
--- a/src/test/java/org/eiderstair/sim/FaultInjector.java
+++ b/src/test/java/org/eiderstair/sim/FaultInjector.java
@@ -10,6 +10,11 @@
   private static final long SECOND_MICROS = 1_000_000;
   private static final long MIN_COMMAND_DELAY_MICROS = 2 * SECOND_MICROS;
   private static final int COMMAND_DELAY_JITTER_MICROS = 14_000_000;
+  private static final int LONG_COMMAND_DELAY_JITTER_MICROS = 300_000_000;
+  private static final long MIN_CLOUD_DELAY_MICROS = 3 * SECOND_MICROS;
+  private static final int CLOUD_DELAY_JITTER_MICROS = 90_000_000;
+  private static final int LATE_CLOUD_CHANGE_PERCENT = 25;
+  private static final int MAX_RESTART_MICROS = 1_000_000;
   private static final long MIN_COPY_DELAY_MICROS = SECOND_MICROS / 10;
   private static final int COPY_DELAY_JITTER_MICROS = 60_000_000;
   private static final int DISTURBED_WRITE_PERCENT = 30;
@@ -86,7 +91,15 @@
     /** The cloud refuses all requests. */
     CLOUD_OUTAGE,
     /** Copies of some commands that were executed and answered reach workers a second time. */
-    DUPLICATE_COMMANDS
+    DUPLICATE_COMMANDS,
+    /** Some commands and status requests reach workers up to minutes later, unanswered. */
+    VERY_LATE_COMMANDS,
+    /** The cloud carries out some rentals and deletions up to minutes later, unanswered. */
+    LATE_CLOUD_CHANGES,
+    /** Some machines lose all tasks, and their workers go on counting within a second. */
+    WORKERS_RESTART,
+    /** Some machines are back within a second with new workers, whose numbers begin again. */
+    WORKERS_BEGIN_AGAIN
   }
 
   /** The job class of jobs whose first task completes soon and whose other tasks take long. */
@@ -98,6 +111,8 @@
   private boolean quickBoots;
   private boolean slowState;
   private int lateCommandsPercent;
+  private int commandDelayJitterMicros;
+  private boolean lateCloudChanges;
   private int duplicateCommandsPercent;
 
   FaultInjector(SimulatedCluster cluster) {
@@ -151,7 +166,11 @@
       case ALL_OUTBOUND_LOST ->
           cluster.cloud.workers().forEach(worker -> worker.loseOutbound(micros));
       case CLOUD_OUTAGE -> cluster.cloud.outage(micros);
-      case LATE_COMMANDS -> delayCommands(micros);
+      case LATE_COMMANDS -> delayCommands(COMMAND_DELAY_JITTER_MICROS, micros);
+      case VERY_LATE_COMMANDS -> delayCommands(LONG_COMMAND_DELAY_JITTER_MICROS, micros);
+      case LATE_CLOUD_CHANGES -> delayCloudChanges(micros);
+      case WORKERS_RESTART -> restartWorkers(micros, false);
+      case WORKERS_BEGIN_AGAIN -> restartWorkers(micros, true);
       case DUPLICATE_COMMANDS -> duplicateCommands(micros);
       case ALL_DOWN_FOR_A_LEASE ->
           crashAll(SimulatedCluster.LEASE_MICROS + 5 * SECOND_MICROS, 2_000_000);
@@ -184,7 +203,23 @@
     cluster.clock.after(micros, () -> quickBoots = false);
   }
 
-  private void delayCommands(long micros) {
+  private void delayCloudChanges(long micros) {
+    lateCloudChanges = true;
+    cluster.clock.after(micros, () -> lateCloudChanges = false);
+  }
+
+  /** Restarts some machines, each at a random moment of the given time. */
+  private void restartWorkers(long micros, boolean numbersBeginAgain) {
+    applyToSomeMachines(
+        worker ->
+            cluster.clock.after(
+                cluster.random.nextInt((int) Math.max(1, micros)),
+                () ->
+                    worker.restart(cluster.random.nextInt(MAX_RESTART_MICROS), numbersBeginAgain)));
+  }
+
+  private void delayCommands(int jitterMicros, long micros) {
+    commandDelayJitterMicros = jitterMicros;
     lateCommandsPercent = 20 + cluster.random.nextInt(81);
     cluster.clock.after(micros, () -> lateCommandsPercent = 0);
   }
@@ -268,9 +303,16 @@
    */
   long commandDelayMicros() {
     boolean held = lateCommandsPercent > 0 && cluster.random.nextInt(100) < lateCommandsPercent;
-    return held
-        ? MIN_COMMAND_DELAY_MICROS + cluster.random.nextInt(COMMAND_DELAY_JITTER_MICROS)
-        : 0;
+    return held ? MIN_COMMAND_DELAY_MICROS + cluster.random.nextInt(commandDelayJitterMicros) : 0;
+  }
+
+  /**
+   * Returns how long a rental or deletion that is requested now is delayed; 0 for one that is not.
+   * A delayed request is not answered.
+   */
+  long cloudChangeDelayMicros() {
+    boolean late = lateCloudChanges && cluster.random.nextInt(100) < LATE_CLOUD_CHANGE_PERCENT;
+    return late ? MIN_CLOUD_DELAY_MICROS + cluster.random.nextInt(CLOUD_DELAY_JITTER_MICROS) : 0;
   }
 
   /** A worker has executed a command; delivers a copy of some commands later. */
--- a/src/test/java/org/eiderstair/sim/RequestTransport.java
+++ b/src/test/java/org/eiderstair/sim/RequestTransport.java
@@ -158,14 +158,19 @@
 
   private void sendToCloud(SimulatedController from, Request request, Consumer<Reply> callback) {
     Map<String, Long> releaseTerms = cluster.rules.checkWrittenBeforeRequest(request);
+    boolean isChange =
+        request instanceof Request.CloudRent || request instanceof Request.CloudDelete;
+    long delayMicros = isChange ? cluster.faults.cloudChangeDelayMicros() : 0;
+    Consumer<Reply> onReply =
+        delayMicros > 0
+            ? unanswered -> {}
+            : reply -> cluster.network.send(CLOUD, from.name(), () -> callback.accept(reply));
     cluster.network.send(
         from.name(),
         CLOUD,
         () ->
-            cluster.cloud.serve(
-                request,
-                releaseTerms,
-                reply -> cluster.network.send(CLOUD, from.name(), () -> callback.accept(reply))));
+            cluster.clock.after(
+                delayMicros, () -> cluster.cloud.serve(request, releaseTerms, onReply)));
   }
 
   private void sendToStateService(
--- a/src/test/java/org/eiderstair/sim/SimulatedWorker.java
+++ b/src/test/java/org/eiderstair/sim/SimulatedWorker.java
@@ -132,6 +132,29 @@
     failsAllTasks = true;
   }
 
+  /**
+   * Stops all tasks now, and starts the worker again after a while in which nothing reaches it.
+   *
+   * @param numbersBeginAgain whether the worker has forgotten its incarnation, its sequence and the
+   *     highest fencing token, like the worker of a new machine
+   */
+  void restart(long downMicros, boolean numbersBeginAgain) {
+    if (dead) {
+      return;
+    }
+    hang(downMicros);
+    loseInbound(downMicros);
+    deferredWhileHung.clear();
+    newIncarnation();
+    inFlight = false;
+    heartbeatNumber++;
+    if (numbersBeginAgain) {
+      incarnation = 1;
+      fencingToken = FencingToken.NONE;
+    }
+    lastAnsweredSentMicros = now() + downMicros;
+  }
+
   /** Notifies the machine that the cloud reclaims it after that time. */
   void receiveReclaimNotice(long micros) {
     noticeAtMicros = now() + micros;
