core.workers: a late heartbeat of a replaced worker frees no task of its successor

A heartbeat with an incarnation up to the highest one ever seen, or with a token below the one that the machine has shown, no longer proves a new incarnation: the machine is asked, and its reply tells.

--- a/src/main/java/org/eiderstair/core/model/Machine.java
+++ b/src/main/java/org/eiderstair/core/model/Machine.java
@@ -64,6 +64,7 @@
   private Phase phase;
   private Plan plan = Plan.ACTIVE;
   private long incarnation;
+  private long highestIncarnation;
   private long sequence;
   private boolean relayed;
   private boolean presumedDead;
@@ -319,9 +320,18 @@
   /** Records the incarnation and the sequence number of the newest heartbeat. */
   public void advanceTo(long newIncarnation, long newSequence) {
     incarnation = newIncarnation;
+    highestIncarnation = Math.max(highestIncarnation, newIncarnation);
     sequence = newSequence;
   }
 
+  /**
+   * Returns whether a heartbeat with this incarnation may come from a worker that another one has
+   * replaced, although the incarnation is higher than the current one.
+   */
+  public boolean mayBeOfReplacedWorker(long heartbeatIncarnation) {
+    return heartbeatIncarnation > incarnation && heartbeatIncarnation <= highestIncarnation;
+  }
+
   /**
    * Replaces the numbers of the worker by those of another worker on the same machine. Launches in
    * answers to heartbeats of the previous worker reach no one, so any answered heartbeat of the new
--- a/src/main/java/org/eiderstair/core/workers/HeartbeatHandler.java
+++ b/src/main/java/org/eiderstair/core/workers/HeartbeatHandler.java
@@ -85,6 +85,10 @@
         machine
             .pendingHeartbeat()
             .freshness(heartbeat.incarnation(), heartbeat.sequence(), machine.incarnation());
+    if (freshness == PendingHeartbeat.Freshness.CURRENT
+        && machine.mayBeOfReplacedWorker(heartbeat.incarnation())) {
+      freshness = PendingHeartbeat.Freshness.EARLIER_INCARNATION;
+    }
     if (freshness != PendingHeartbeat.Freshness.CURRENT) {
       // A duplicate or delayed heartbeat that the worker no longer waits for, or one of another
       // worker on the same machine. It proves nothing, renews no lease and launches no task; the
@@ -163,8 +167,7 @@
     if (!heartbeat.isNewerThan(machine.incarnation(), machine.sequence())) {
       return;
     }
-    if (heartbeat.incarnation() == machine.incarnation()
-        && machine.fence().isForgottenBy(heartbeat.fencingToken())) {
+    if (machine.fence().isForgottenBy(heartbeat.fencingToken())) {
       beginWithNewWorker(machine, heartbeat);
       return;
     }
--- a/src/test/java/org/eiderstair/core/workers/RestartedWorkerTest.java
+++ b/src/test/java/org/eiderstair/core/workers/RestartedWorkerTest.java
@@ -53,13 +53,18 @@
   }
 
   private Heartbeat ofNewWorker(long sequence, FencingToken token, Entry... entries) {
+    return heartbeat(1, sequence, token, entries);
+  }
+
+  private Heartbeat heartbeat(
+      long incarnation, long sequence, FencingToken token, Entry... entries) {
     return new Heartbeat(
         machine.id(),
         "x",
         "t",
         machine.zone(),
         machine.isSpot(),
-        1,
+        incarnation,
         sequence,
         token,
         Heartbeat.NO_NOTICE,
@@ -152,4 +157,20 @@
     assertEquals(token, machine.fencingToken());
     assertEquals(1, job.attemptCount());
   }
+
+  @Example
+  void lateHeartbeatOfAReplacedWorkerFreesNoTaskOfItsSuccessor() {
+    FencingToken token = machine.fencingToken();
+    leader.workers.receive(70, heartbeat(3, 20, token), false, leader.now);
+    runPass();
+    Job job = leader.job("red", JobSpec.Priority.NORMAL, 1, 1);
+    runPass();
+    Effect.Call launch = lastCommand();
+    assertEquals(1, job.attemptCount());
+    leader.sink.replied(
+        launch.callId(), new Reply.WorkerStatus(ofNewWorker(2, FencingToken.NONE), false));
+    leader.workers.receive(71, heartbeat(3, 21, token), false, leader.now);
+    assertEquals(1, machine.incarnation());
+    assertEquals(1, job.attemptCount());
+  }
 }
