http: each refusal of a message is logged with its place, and counted by reason

The records of the incident could not tell why the submission was refused: no line named a refused message. It holds for submissions, heartbeats, requests of peers and responses of workers, cloud, state service and peers, whose line "cannot decode response" it replaces.

--- a/src/main/java/org/eiderstair/http/HttpClientPool.java
+++ b/src/main/java/org/eiderstair/http/HttpClientPool.java
@@ -34,6 +34,7 @@
   private final Map<String, String> peerAddresses;
   private final RequestRoutes routes;
   private final LongSupplier clock;
+  private final RefusalLog refusals;
   private final BiConsumer<Long, Reply> replies;
   // The mutable fields are guarded by this: the core's thread sends, the selector's thread
   // receives.
@@ -76,6 +77,7 @@
     this.peerAddresses = Map.copyOf(peerAddresses);
     this.routes = new RequestRoutes(stateAddress, cloudAddress, this.peerAddresses);
     this.clock = clock;
+    this.refusals = new RefusalLog(clock);
     this.replies = replies;
   }
 
@@ -411,15 +413,17 @@
     replies.accept(exchange.callId, new Reply.NoResponse(reason));
   }
 
-  private static Reply readReply(OutgoingRequest request, int status, byte[] content) {
+  /** Returns the number of unreadable responses by reason since the previous call. */
+  public String takeRefusals() {
+    return refusals.takeCounts();
+  }
+
+  private Reply readReply(OutgoingRequest request, int status, byte[] content) {
     try {
       return request.reader.read(status, content);
     } catch (MalformedMessageException e) {
-      LOG.error(
-          "cannot decode response: address={} path={} error={}",
-          request.address,
-          request.path,
-          e.getMessage());
+      refusals.unreadable(
+          RefusalLog.MessageKind.RESPONSE, request.address + request.path, content, e);
       return new Reply.NoResponse(e.getMessage());
     }
   }
--- a/src/main/java/org/eiderstair/http/HttpRequestRouter.java
+++ b/src/main/java/org/eiderstair/http/HttpRequestRouter.java
@@ -36,7 +36,24 @@
 
   /** A request that the core has not answered yet. */
   private record PendingRequest(
-      ServerConnection connection, boolean fromPeer, long receivedMicros) {}
+      ServerConnection connection,
+      RefusalLog.MessageKind kind,
+      long receivedMicros,
+      int bodyBytes,
+      String job) {
+
+    /** Returns the request with the job that it submits. */
+    PendingRequest submitting(String submittedJob) {
+      return new PendingRequest(connection, kind, receivedMicros, bodyBytes, submittedJob);
+    }
+
+    boolean fromPeer() {
+      return kind == RefusalLog.MessageKind.PEER_REQUEST;
+    }
+  }
+
+  private static final int MALFORMED_STATUS = 400;
+  private static final int INVALID_STATUS = 422;
 
   /** Turns a request body into an event. */
   private interface BodyHandler {
@@ -47,6 +64,7 @@
   private final BooleanSupplier behind;
   private final LongSupplier clock;
   private final RequestIntake intake;
+  private final RefusalLog refusals;
   private final AtomicLong lastExchangeId = new AtomicLong();
   private final Map<Long, PendingRequest> pendingRequests = new ConcurrentHashMap<>();
 
@@ -67,6 +85,7 @@
     this.behind = behind;
     this.clock = clock;
     this.intake = new RequestIntake(maxBufferedBytes, clock);
+    this.refusals = new RefusalLog(clock);
   }
 
   /** Listens for users and workers, and returns the port; port 0 lets the system choose one. */
@@ -113,7 +132,7 @@
 
     @Override
     public void process(ServerConnection connection, String method, String path, byte[] body) {
-      PendingRequest request = new PendingRequest(connection, false, clock.getAsLong());
+      PendingRequest request = newRequest(connection, kind(path), body);
       switch (path) {
         case "/ready" ->
             handle(
@@ -158,7 +177,7 @@
 
     @Override
     public void process(ServerConnection connection, String method, String path, byte[] body) {
-      PendingRequest request = new PendingRequest(connection, true, clock.getAsLong());
+      PendingRequest request = newRequest(connection, RefusalLog.MessageKind.PEER_REQUEST, body);
       if (path.equals(PeerMessages.STATE_SERVICE_STATUS_PATH)) {
         handle(
             request,
@@ -208,6 +227,19 @@
     }
   }
 
+  private PendingRequest newRequest(
+      ServerConnection connection, RefusalLog.MessageKind kind, byte[] body) {
+    return new PendingRequest(connection, kind, clock.getAsLong(), body.length, null);
+  }
+
+  private static RefusalLog.MessageKind kind(String path) {
+    return switch (path) {
+      case HEARTBEAT_PATH -> RefusalLog.MessageKind.HEARTBEAT;
+      case JOBS_PATH -> RefusalLog.MessageKind.SUBMISSION;
+      default -> RefusalLog.MessageKind.OTHER_REQUEST;
+    };
+  }
+
   private void handleJobRequest(PendingRequest request, String path, String method, byte[] body) {
     if (!path.startsWith(JOBS_PATH + "/")) {
       sendError(request.connection(), 404, "no such path");
@@ -257,13 +289,15 @@
     try {
       handler.accept(id, body);
     } catch (MalformedMessageException e) {
-      respond(id, new Answer.Failure(400, e.getMessage(), 0));
+      refusals.unreadable(request.kind(), request.connection().remoteAddress(), body, e);
+      respond(id, new Answer.Failure(MALFORMED_STATUS, e.getMessage(), 0));
     }
   }
 
   private void submit(long exchangeId, Map<String, Object> message)
       throws MalformedMessageException {
     String id = UserMessages.decodeJobId(message);
+    pendingRequests.computeIfPresent(exchangeId, (exchange, request) -> request.submitting(id));
     Submission submission;
     try {
       submission = new Submission.Parsed(UserMessages.decodeSubmission(message));
@@ -298,6 +332,11 @@
     return intake.heldBytes();
   }
 
+  /** Returns the number of refused messages by kind and reason since the previous call. */
+  public String takeRefusals() {
+    return refusals.takeCounts();
+  }
+
   /** Closes the connections whose requests took too long to arrive. Called periodically. */
   public void closeSlowConnections(long nowMicros) {
     intake.closeExpired(nowMicros);
@@ -332,6 +371,7 @@
     } else if (answer instanceof Answer.Ready ready) {
       write(connection, ready.ready() ? 200 : 503, EMPTY_ANSWER);
     } else if (answer instanceof Answer.Failure failure) {
+      logIfFinal(request, failure);
       connection.answer(
           failure.status(),
           failure.retryAfterSeconds(),
@@ -341,6 +381,13 @@
     }
   }
 
+  private void logIfFinal(PendingRequest request, Answer.Failure failure) {
+    boolean isFinal = failure.status() == MALFORMED_STATUS || failure.status() == INVALID_STATUS;
+    if (isFinal && request.job() != null) {
+      refusals.refused(request.job(), failure.status(), failure.reason(), request.bodyBytes());
+    }
+  }
+
   private static void sendError(ServerConnection connection, int status, String reason) {
     write(connection, status, UserMessages.encodeError(reason));
   }
--- a/src/main/java/org/eiderstair/http/ServerConnection.java
+++ b/src/main/java/org/eiderstair/http/ServerConnection.java
@@ -325,6 +325,11 @@
     }
   }
 
+  /** Returns the address of the sender. */
+  String remoteAddress() {
+    return String.valueOf(getEndPoint().getRemoteSocketAddress());
+  }
+
   /** Closes the connection of a sender that is too slow, and releases the memory of its request. */
   void abort() {
     releaseReservedBytes();
--- a/src/main/java/org/eiderstair/node/CoreLoop.java
+++ b/src/main/java/org/eiderstair/node/CoreLoop.java
@@ -9,6 +9,7 @@
 import java.util.function.IntSupplier;
 import java.util.function.LongConsumer;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.eiderstair.core.Core;
 import org.eiderstair.core.message.Effect;
 import org.eiderstair.core.message.Event;
@@ -41,6 +42,7 @@
   private Consumer<Effect> effects;
   private Predicate<Event> lateEventFilter = event -> false;
   private int refusedLateEvents;
+  private Supplier<String> refusedMessageCounter = () -> "";
   private LongConsumer timeoutCheck = nowMicros -> {};
   private final OverloadDetector overloadDetector = new OverloadDetector();
 
@@ -69,6 +71,11 @@
     lateEventFilter = filter;
   }
 
+  /** Sets the counter, which returns the messages refused since its previous call by reason. */
+  public void setRefusedMessageCounter(Supplier<String> counter) {
+    refusedMessageCounter = counter;
+  }
+
   /** Sets the counter, which returns the connections refused since its previous call. */
   public void setRefusedConnectionCounter(IntSupplier counter) {
     overloadDetector.setRefusedConnectionCounter(counter);
@@ -158,9 +165,10 @@
     nextLoadLogMicros = nowMicros + LOAD_LOG_INTERVAL_MICROS;
     Runtime runtime = Runtime.getRuntime();
     LOG.info(
-        "load: {}, refused as late {}, max waiting {}, heap {} of {} MB",
+        "load: {}, refused as late {}, refused messages {}, max waiting {}, heap {} of {} MB",
         eventCounts,
         refusedLateEvents,
+        refusedMessageCounter.get(),
         maxWaitingEvents,
         (runtime.totalMemory() - runtime.freeMemory()) >> 20,
         runtime.maxMemory() >> 20);
--- a/src/main/java/org/eiderstair/node/Node.java
+++ b/src/main/java/org/eiderstair/node/Node.java
@@ -78,6 +78,7 @@
           inbound.closeSlowConnections(nowMicros);
         });
     loop.setRefusedConnectionCounter(budget::takeRefusals);
+    loop.setRefusedMessageCounter(() -> inbound.takeRefusals() + " " + outbound.takeRefusals());
     loop.setLateEventFilter(inbound::refuseIfLate);
     coreThread = new Thread(null, loop, "core", 512 * 1024);
     coreThread.start();
