Tests: stand-ins spell every answer otherwise, among unknown fields of the worst kind

The fake state service, cloud, workers and their heartbeats of the tests over sockets now send each message in another spelling: fields in any order, every form of header and number, and unknown fields that hold integers of 2^64-1, binary data, time stamps, maps with other keys and 2,000 levels of nesting. Stored values come back so, too. Always on; the workload that records the class archive and is measured keeps the plain form.

--- a/src/test/java/org/eiderstair/node/ClassArchiveWorkload.java
+++ b/src/test/java/org/eiderstair/node/ClassArchiveWorkload.java
@@ -123,6 +123,7 @@
     int port = freePort();
     Path file = Files.createTempFile("eiderstair", ".toml");
     try (FakePlatform platform = new FakePlatform(machines, 2000)) {
+      platform.usePlainSpelling();
       Files.writeString(file, String.format(SETTINGS, port, freePort(), platform.port()));
       platform.put("e/leader", Map.of("node", "other", "lease", 1L, "run", "other-1"));
       platform.addMachinesOfEarlierLeader(machines / 2);
--- a/src/test/java/org/eiderstair/node/FakePlatform.java
+++ b/src/test/java/org/eiderstair/node/FakePlatform.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
@@ -22,6 +23,7 @@
 import org.eiderstair.peer.PeerMessages;
 import org.eiderstair.protocol.MalformedMessageException;
 import org.eiderstair.protocol.MessagePackCodec;
+import org.eiderstair.protocol.MessageSpelling;
 
 /**
  * A server that imitates the state service, the cloud, the workers and one peer on one port. It
@@ -40,6 +42,8 @@
   private final Map<String, FakeMachine> machines = new LinkedHashMap<>();
   private final int maxMachines;
   private final long taskMillis;
+  private final AtomicLong spellingSeed = new AtomicLong();
+  private volatile boolean plainSpelling;
   private int relayedHeartbeats;
 
   /**
@@ -70,7 +74,7 @@
     byte[] answer =
         path.startsWith("/peer")
             ? answerPeer(path, body)
-            : MessagePackCodec.write(
+            : encode(
                 answer(
                     path,
                     request,
@@ -80,6 +84,18 @@
     return true;
   }
 
+  /** Encodes each answer in another spelling, among unknown fields, unless plain ones are asked. */
+  private byte[] encode(Map<String, Object> answer) {
+    return plainSpelling
+        ? MessagePackCodec.write(answer)
+        : MessageSpelling.encode(answer, spellingSeed.incrementAndGet());
+  }
+
+  /** Makes all further answers plain, for a workload that is measured. */
+  void usePlainSpelling() {
+    plainSpelling = true;
+  }
+
   /**
    * Answers as a peer, which leads while the store holds its leader key. The peer accepts relayed
    * heartbeats. To every other request it answers that it is the leader.
--- a/src/test/java/org/eiderstair/node/NodeTest.java
+++ b/src/test/java/org/eiderstair/node/NodeTest.java
@@ -19,6 +19,7 @@
 import org.eiderstair.config.OperatorFile;
 import org.eiderstair.config.PlatformFile;
 import org.eiderstair.protocol.MessagePackCodec;
+import org.eiderstair.protocol.MessageSpelling;
 import org.eiderstair.protocol.SampleMessages;
 
 /** Runs a whole controller over real sockets, with in-process fakes of all other services. */
@@ -100,7 +101,7 @@
                   http,
                   HttpMethod.POST,
                   base + "/agent/beat",
-                  MessagePackCodec.write(machine.heartbeat()));
+                  MessageSpelling.encode(machine.heartbeat(), i));
           assertEquals(200, answer.getStatus());
           machine.execute(MessagePackCodec.readMap(answer.getContent()));
         }
