Tests: requests to the cloud that are not delayed are served in the order of before

Traced: the simulator put every request to the cloud through the clock once more, also without a delay, which changed the order of events of one moment and with it all that is drawn later; nothing of the program.

--- a/src/test/java/org/eiderstair/sim/RequestTransport.java
+++ b/src/test/java/org/eiderstair/sim/RequestTransport.java
@@ -165,12 +165,11 @@
         delayMicros > 0
             ? unanswered -> {}
             : reply -> cluster.network.send(CLOUD, from.name(), () -> callback.accept(reply));
+    Runnable serve = () -> cluster.cloud.serve(request, releaseTerms, onReply);
     cluster.network.send(
         from.name(),
         CLOUD,
-        () ->
-            cluster.clock.after(
-                delayMicros, () -> cluster.cloud.serve(request, releaseTerms, onReply)));
+        delayMicros > 0 ? () -> cluster.clock.after(delayMicros, serve) : serve);
   }
 
   private void sendToStateService(
