--- a/src/test/java/org/eiderstair/http/SlowSenderTest.java
+++ b/src/test/java/org/eiderstair/http/SlowSenderTest.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
@@ -230,6 +231,36 @@
     }
   }
 
+  @Example
+  void slowSendersOnThePeersListenerAreClosedAndOthersServed() throws Exception {
+    try (ServerSocket free = new ServerSocket(0)) {
+      port = free.getLocalPort();
+    }
+    router.listenForPeers(sockets, "127.0.0.1", port);
+    List<Socket> slow = new ArrayList<>();
+    for (int i = 0; i < SMALL_SENDERS; i++) {
+      Socket socket = connect();
+      slow.add(socket);
+      socket.getOutputStream().write(ascii("POST /peer/relay HTTP/1.1\r\nContent-Length: 60000"));
+      socket.getOutputStream().write(ascii(i % 2 == 0 ? "" : "\r\nHost: a\r\n\r\nbody"));
+    }
+    settlePeers();
+    router.closeSlowConnections(clockMicros.addAndGet(IncompleteRequests.MAX_READ_MICROS));
+    for (Socket socket : slow) {
+      assertTrue(isClosed(socket));
+    }
+    settlePeers();
+  }
+
+  /** Waits until the peers' listener has read what was sent before. */
+  private void settlePeers() throws IOException {
+    try (Socket socket = new Socket("127.0.0.1", port)) {
+      for (int i = 0; i < 3; i++) {
+        assertEquals(404, send(socket, ascii("GET /nowhere HTTP/1.1\r\nHost: a\r\n\r\n")));
+      }
+    }
+  }
+
   /** Random bytes, and sound requests with some bytes changed, end no listener and leak nothing. */
   @Example
   void malformedBytesEndNothing() throws Exception {
--- a/src/test/java/org/eiderstair/protocol/RecordedSubmission.java
+++ b/src/test/java/org/eiderstair/protocol/RecordedSubmission.java
@@ -6,7 +6,10 @@
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 
-/** The submission that was refused in the incident of December 2026, byte for byte as recorded. */
+/**
+ * The submission that was refused in the incident of December 2026, as far as its record shows it.
+ * The values of some known fields and the name of the last one are assumed.
+ */
 public final class RecordedSubmission {
   /** The length in bytes that the record of the call names. */
   public static final int RECORDED_LENGTH = 18_374;
@@ -17,7 +20,7 @@
 
   private RecordedSubmission() {}
 
-  /** Returns the body for a job of that id and team, with the given form of its number of tasks. */
+  /** Returns the body for a job of that id and team. */
   public static byte[] body(String id, String team) {
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
       ByteArrayOutputStream body = new ByteArrayOutputStream();
