core.workers: a heartbeat that looks old is a reason to ask only if its token was forgotten

An overloaded leader gets many such heartbeats, late and relayed ones, and each cost a command more. A new worker knows no token at first, and learns one only in a message whose reply shows that it is new; so only heartbeats with a token below the one that the machine has shown, or with an incarnation of a replaced worker, are a reason to ask.

--- a/src/main/java/org/eiderstair/core/workers/HeartbeatHandler.java
+++ b/src/main/java/org/eiderstair/core/workers/HeartbeatHandler.java
@@ -85,16 +85,18 @@
         machine
             .pendingHeartbeat()
             .freshness(heartbeat.incarnation(), heartbeat.sequence(), machine.incarnation());
-    if (freshness == PendingHeartbeat.Freshness.CURRENT
-        && machine.mayBeOfReplacedWorker(heartbeat.incarnation())) {
+    boolean ambiguous = machine.mayBeOfReplacedWorker(heartbeat.incarnation());
+    if (freshness == PendingHeartbeat.Freshness.CURRENT && ambiguous) {
       freshness = PendingHeartbeat.Freshness.EARLIER_INCARNATION;
     }
     if (freshness != PendingHeartbeat.Freshness.CURRENT) {
       // A duplicate or delayed heartbeat that the worker no longer waits for, or one of another
-      // worker on the same machine. It proves nothing, renews no lease and launches no task; the
-      // reply to a probe tells which of the two it is.
+      // worker on the same machine. It proves nothing, renews no lease and launches no task. The
+      // reply to a probe tells which of the two it is; a new worker knows no token at first.
       responder.refuse(exchange, freshness.refusalReason());
-      prober.ask(machine);
+      if (ambiguous || machine.fence().isForgottenBy(heartbeat.fencingToken())) {
+        prober.ask(machine);
+      }
       return;
     }
     if (!relayed) {
