--- a/src/main/java/org/eiderstair/http/IncompleteRequests.java
+++ b/src/main/java/org/eiderstair/http/IncompleteRequests.java
@@ -59,10 +59,12 @@
     return takeIfOlder(begun, QUICK_MICROS, nowMicros);
   }
 
-  /** Removes and returns the slowest sender, also one that sent nothing; null if all are quick. */
-  synchronized ServerConnection takeSlowestConnection(long nowMicros) {
-    ServerConnection slowest = takeIfOlder(unused, QUICK_MICROS, nowMicros);
-    return slowest != null ? slowest : takeSlowestRequest(nowMicros);
+  /**
+   * Removes and returns the connection on which nothing has arrived for the longest time; null if
+   * that is shorter than a request may take. An overloaded node reads what has arrived only later.
+   */
+  synchronized ServerConnection takeUnused(long nowMicros) {
+    return takeIfOlder(unused, MAX_READ_MICROS, nowMicros);
   }
 
   private static ServerConnection takeIfOlder(
--- a/src/main/java/org/eiderstair/http/RequestIntake.java
+++ b/src/main/java/org/eiderstair/http/RequestIntake.java
@@ -73,13 +73,13 @@
     return heldBytes.get();
   }
 
-  /** Closes the slowest sender's connection, to free a socket; returns false if all are quick. */
-  boolean closeSlowestConnection() {
-    ServerConnection slowest = incomplete.takeSlowestConnection(clock.getAsLong());
-    if (slowest == null) {
+  /** Closes a connection that was never used, to free a socket; returns false if there is none. */
+  boolean closeUnusedConnection() {
+    ServerConnection unused = incomplete.takeUnused(clock.getAsLong());
+    if (unused == null) {
       return false;
     }
-    slowest.abort();
+    unused.abort();
     return true;
   }
 
--- a/src/main/java/org/eiderstair/http/Sockets.java
+++ b/src/main/java/org/eiderstair/http/Sockets.java
@@ -137,12 +137,12 @@
       super(executor, scheduler, 1);
     }
 
-    /** Counts an inbound connection, for which the slowest sender may have to give way. */
+    /** Counts an inbound connection, for which one that was never used may have to give way. */
     private boolean openInbound(Port port) {
       if (port.budget.tryOpenInbound()) {
         return true;
       }
-      if (!port.processor.intake().closeSlowestConnection()) {
+      if (!port.processor.intake().closeUnusedConnection()) {
         return false;
       }
       port.budget.replaceInbound();
