--- a/src/main/java/org/eiderstair/http/HttpRequestRouter.java
+++ b/src/main/java/org/eiderstair/http/HttpRequestRouter.java
@@ -13,7 +13,6 @@
 import org.eiderstair.core.message.Submission;
 import org.eiderstair.peer.PeerMessages;
 import org.eiderstair.protocol.MalformedMessageException;
-import org.eiderstair.protocol.MessagePackCodec;
 import org.eiderstair.protocol.UserMessages;
 import org.eiderstair.protocol.WorkerMessages;
 
@@ -150,7 +149,7 @@
                 method,
                 "POST",
                 body,
-                (id, content) -> submit(id, MessagePackCodec.readMap(content)));
+                (id, content) -> submit(id, UserMessages.readSubmission(content)));
         default -> handleJobRequest(request, path, method, body);
       }
     }
--- a/src/main/java/org/eiderstair/protocol/Fields.java
+++ b/src/main/java/org/eiderstair/protocol/Fields.java
@@ -1,5 +1,6 @@
 package org.eiderstair.protocol;
 
+import java.math.BigInteger;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -16,6 +17,9 @@
 
   private static final double MICROS_PER_SECOND = 1e6;
 
+  /** The smallest number above the range of a count. */
+  private static final double COUNT_LIMIT = 0x1p63;
+
   private final Map<String, Object> values;
 
   Fields(Map<String, Object> values) {
@@ -67,7 +71,7 @@
     return has(name) ? text(name) : null;
   }
 
-  /** Returns a whole number that is not negative. */
+  /** Returns a whole number that is not negative, in whichever form of number it was sent. */
   long count(String name) throws MalformedMessageException {
     return count(values.get(name), name);
   }
@@ -76,9 +80,31 @@
     if (value instanceof Long count && count >= 0) {
       return count;
     }
+    if (value instanceof Double real
+        && real >= 0
+        && real < COUNT_LIMIT
+        && real == Math.rint(real)) {
+      return real.longValue();
+    }
     throw new MalformedMessageException(name, "is missing or not a count");
   }
 
+  /**
+   * Returns an identifier, an integer below 2^64, as its 64 bits. Identifiers are only compared for
+   * equality, and must be sent with {@link #unsigned}.
+   */
+  long identifier(String name) throws MalformedMessageException {
+    if (values.get(name) instanceof BigInteger large) {
+      return large.longValue();
+    }
+    return count(name);
+  }
+
+  /** Returns the integer below 2^64 that the 64 bits stand for. */
+  static Number unsigned(long bits) {
+    return bits >= 0 ? (Number) bits : new BigInteger(Long.toUnsignedString(bits));
+  }
+
   /** Returns a number from 0 to {@value #MAX_AMOUNT}, which may have a fraction. */
   double amount(String name) throws MalformedMessageException {
     if (values.get(name) instanceof Number number) {
--- a/src/main/java/org/eiderstair/protocol/MessagePackCodec.java
+++ b/src/main/java/org/eiderstair/protocol/MessagePackCodec.java
@@ -1,16 +1,20 @@
 package org.eiderstair.protocol;
 
 import java.io.IOException;
+import java.math.BigInteger;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
 
 /**
- * Converts between MessagePack and plain maps, lists, texts, numbers, booleans and null. Binary and
- * extension values are not supported.
+ * Converts between MessagePack and plain maps, lists, texts, numbers, booleans and null. A message
+ * is read in every form that MessagePack has for it. Values of other kinds are no reason to refuse
+ * a message: they become {@link UnreadableValue}, which only a decoder that asks for the field
+ * refuses.
  */
 public final class MessagePackCodec {
   /** The default buffers of the library are sized for far larger messages. */
@@ -38,6 +42,8 @@
       packer.packBoolean(flag);
     } else if (value instanceof Double real) {
       packer.packDouble(real);
+    } else if (value instanceof BigInteger large) {
+      packer.packBigInteger(large);
     } else if (value instanceof Number whole) {
       packer.packLong(whole.longValue());
     } else if (value instanceof Map<?, ?> map) {
@@ -98,20 +104,44 @@
    * bytes is refused before memory is allocated for it.
    */
   public static Map<String, Object> readMap(byte[] bytes) throws MalformedMessageException {
-    return readMap(bytes, null);
+    return readMap(bytes, null, null);
   }
 
   /**
-   * Decodes like {@link #readMap(byte[])}, but passes one list to a reader row by row. In the
-   * returned map that list holds only the items that are not maps.
+   * Decodes like {@link #readMap(byte[])}, but skips the fields that the decoder does not ask for,
+   * and passes one list to a reader row by row. In the returned map that list holds only the items
+   * that are not maps.
    *
+   * @param knownNames the fields to decode; null to decode all of them
    * @param rowReader null to decode all lists into the map
    */
-  static Map<String, Object> readMap(byte[] bytes, RowReader rowReader)
+  static Map<String, Object> readMap(byte[] bytes, Set<String> knownNames, RowReader rowReader)
       throws MalformedMessageException {
+    return read(bytes, input -> new MessagePackReader(input, knownNames, rowReader).readMessage());
+  }
+
+  /** Returns the size in bytes that a message has as JSON. */
+  static long jsonSizeBytes(byte[] bytes) throws MalformedMessageException {
+    return read(bytes, JsonSize::of);
+  }
+
+  /** Reads a message from its input. */
+  private interface InputReader<T> {
+    T read(MessagePackInput input) throws IOException, MalformedMessageException;
+  }
+
+  /** Reads a message. The exception says at which byte the reading stopped. */
+  private static <T> T read(byte[] bytes, InputReader<T> reader) throws MalformedMessageException {
     try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
-      return new MessagePackReader(unpacker, bytes.length, rowReader).readMessage();
-    } catch (IOException | MessagePackException e) {
+      try {
+        return reader.read(new MessagePackInput(unpacker, bytes.length));
+      } catch (MalformedMessageException e) {
+        throw e.atOffset(unpacker.getTotalReadBytes());
+      } catch (MessagePackException e) {
+        throw new MalformedMessageException("not MessagePack: " + e.getClass().getSimpleName())
+            .atOffset(unpacker.getTotalReadBytes());
+      }
+    } catch (IOException e) {
       throw new MalformedMessageException("not MessagePack: " + e.getClass().getSimpleName());
     }
   }
--- a/src/main/java/org/eiderstair/protocol/MessagePackReader.java
+++ b/src/main/java/org/eiderstair/protocol/MessagePackReader.java
@@ -1,96 +1,115 @@
 package org.eiderstair.protocol;
 
 import java.io.IOException;
+import java.math.BigInteger;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.msgpack.core.MessageUnpacker;
+import java.util.Set;
+import org.msgpack.core.MessageFormat;
 import org.msgpack.value.ValueType;
 
 /** Decodes one message; see {@link MessagePackCodec#readMap}. */
 final class MessagePackReader {
-  /** The greatest depth of a list, map or text; the outermost map has depth 1. */
+  /** The greatest depth of a list or map that is decoded; the outermost map has depth 1. */
   private static final int MAX_DEPTH = 24;
 
   /** The largest number of items for which memory is reserved before they are read. */
   private static final int MAX_INITIAL_CAPACITY = 64;
 
-  private final MessageUnpacker unpacker;
-  private final int sizeBytes;
+  private final MessagePackInput input;
+  private final Set<String> knownNames;
   private final MessagePackCodec.RowReader rowReader;
 
   /**
-   * @param sizeBytes the size of the message
+   * @param knownNames the fields of the outermost map that are decoded; null for all of them
    * @param rowReader receives the rows of one list among the fields of the outermost map; null for
    *     none
    */
-  MessagePackReader(MessageUnpacker unpacker, int sizeBytes, MessagePackCodec.RowReader rowReader) {
-    this.unpacker = unpacker;
-    this.sizeBytes = sizeBytes;
+  MessagePackReader(
+      MessagePackInput input, Set<String> knownNames, MessagePackCodec.RowReader rowReader) {
+    this.input = input;
+    this.knownNames = knownNames;
     this.rowReader = rowReader;
   }
 
   Map<String, Object> readMessage() throws IOException, MalformedMessageException {
-    if (!unpacker.hasNext() || nextType() != ValueType.MAP) {
+    if (!input.hasNext() || input.nextType() != ValueType.MAP) {
       throw new MalformedMessageException("body is not a map");
     }
     Map<String, Object> message = map(1);
-    if (unpacker.hasNext()) {
+    if (input.hasNext()) {
       throw new MalformedMessageException("bytes after the map");
     }
     return message;
   }
 
-  private ValueType nextType() throws IOException {
-    return unpacker.getNextFormat().getValueType();
-  }
-
   private Object value(int depth) throws IOException, MalformedMessageException {
-    switch (nextType()) {
+    switch (input.nextType()) {
       case NIL:
-        unpacker.unpackNil();
+        input.unpacker().unpackNil();
         return null;
       case BOOLEAN:
-        return unpacker.unpackBoolean();
+        return input.unpacker().unpackBoolean();
       case INTEGER:
-        return unpacker.unpackLong();
+        return integer();
       case FLOAT:
-        return unpacker.unpackDouble();
+        return input.unpacker().unpackDouble();
       case STRING:
-        return new String(utf8(depth), StandardCharsets.UTF_8);
+        return new String(input.utf8(), StandardCharsets.UTF_8);
       case MAP:
-        return map(depth);
+        return depth > MAX_DEPTH ? unreadable() : map(depth);
       case ARRAY:
-        return list(depth);
+        return depth > MAX_DEPTH ? unreadable() : list(depth);
       default:
-        throw new MalformedMessageException("binary or extension value");
+        return unreadable();
     }
   }
 
+  private Object unreadable() throws IOException, MalformedMessageException {
+    input.skipValue();
+    return UnreadableValue.INSTANCE;
+  }
+
+  /** Returns a {@link Long}, or a {@link BigInteger} if the integer is above the range of one. */
+  private Object integer() throws IOException {
+    if (input.unpacker().getNextFormat() != MessageFormat.UINT64) {
+      return input.unpacker().unpackLong();
+    }
+    BigInteger integer = input.unpacker().unpackBigInteger();
+    return integer.bitLength() < Long.SIZE ? (Object) integer.longValue() : integer;
+  }
+
   private Map<String, Object> map(int depth) throws IOException, MalformedMessageException {
-    int count = unpacker.unpackMapHeader();
-    checkBounds(2L * count, depth);
+    int count = input.mapHeader();
     Map<String, Object> map = new LinkedHashMap<>(Math.min(count, MAX_INITIAL_CAPACITY) * 2);
     for (int i = 0; i < count; i++) {
-      String name = name(depth);
-      map.put(name, isRowList(name, depth) ? rowList(depth + 1) : value(depth + 1));
+      String name = nameOrNull();
+      if (!isDecoded(name, depth)) {
+        input.skipValue();
+      } else {
+        map.put(name, isRowList(name, depth) ? rowList(depth + 1) : value(depth + 1));
+      }
     }
     return map;
   }
 
+  private boolean isDecoded(String name, int depth) {
+    return name != null && (depth > 1 || knownNames == null || knownNames.contains(name));
+  }
+
   private boolean isRowList(String name, int depth) throws IOException {
     return rowReader != null
         && depth == 1
         && name.equals(rowReader.listName())
-        && nextType() == ValueType.ARRAY;
+        && input.nextType() == ValueType.ARRAY;
   }
 
   private List<Object> list(int depth) throws IOException, MalformedMessageException {
-    int count = unpacker.unpackArrayHeader();
-    checkBounds(count, depth);
+    int count = input.listHeader();
     List<Object> list = new ArrayList<>(Math.min(count, MAX_INITIAL_CAPACITY));
     for (int i = 0; i < count; i++) {
       list.add(value(depth + 1));
@@ -103,16 +122,15 @@
    * the message when there are any.
    */
   private List<Object> rowList(int depth) throws IOException, MalformedMessageException {
-    int count = unpacker.unpackArrayHeader();
-    checkBounds(count, depth);
+    int count = input.listHeader();
     Object[] values = new Object[rowReader.columnNames().length];
     List<Object> otherItems = List.of();
     rowReader.beginList();
     for (int i = 0; i < count; i++) {
-      if (nextType() == ValueType.MAP) {
+      if (input.nextType() == ValueType.MAP) {
         row(values, depth + 1);
       } else {
-        otherItems = new ArrayList<>(otherItems);
+        otherItems = otherItems.isEmpty() ? new ArrayList<>() : otherItems;
         otherItems.add(value(depth + 1));
       }
     }
@@ -121,13 +139,14 @@
 
   private void row(Object[] values, int depth) throws IOException, MalformedMessageException {
     Arrays.fill(values, null);
-    int count = unpacker.unpackMapHeader();
-    checkBounds(2L * count, depth);
+    int count = input.mapHeader();
     for (int i = 0; i < count; i++) {
-      int column = column(name(depth));
-      Object value = rowValue(column, depth + 1);
-      if (column >= 0) {
-        values[column] = value;
+      String name = nameOrNull();
+      int column = name == null ? -1 : column(name);
+      if (column < 0) {
+        input.skipValue();
+      } else {
+        values[column] = columnValue(column, depth + 1);
       }
     }
     rowReader.row(values);
@@ -144,38 +163,17 @@
   }
 
   /** Reads the value of a column. Texts of all columns but the first are cached. */
-  private Object rowValue(int column, int depth) throws IOException, MalformedMessageException {
-    boolean shared = column > 0 && nextType() == ValueType.STRING;
-    return shared ? InternedNames.of(utf8(depth)) : value(depth);
-  }
-
-  private String name(int depth) throws IOException, MalformedMessageException {
-    if (nextType() != ValueType.STRING) {
-      throw new MalformedMessageException("a key is not text");
-    }
-    return InternedNames.of(utf8(depth));
+  private Object columnValue(int column, int depth) throws IOException, MalformedMessageException {
+    boolean shared = column > 0 && input.nextType() == ValueType.STRING;
+    return shared ? InternedNames.of(input.utf8()) : value(depth);
   }
 
-  /**
-   * Returns the bytes of a text. The text decoder of the library allocates 16 KB for each message.
-   * It raised the memory allocated for an unchanged heartbeat from 8 KB to 26 KB.
-   */
-  private byte[] utf8(int depth) throws IOException, MalformedMessageException {
-    int length = unpacker.unpackRawStringHeader();
-    checkBounds(length, depth);
-    return unpacker.readPayload(length);
-  }
-
-  /**
-   * Refuses nesting that is too deep, and lengths above the number of remaining bytes. Each item
-   * takes at least one byte, so a short message cannot cause a large allocation.
-   */
-  private void checkBounds(long items, int depth) throws MalformedMessageException {
-    if (depth > MAX_DEPTH) {
-      throw new MalformedMessageException("nested too deeply");
-    }
-    if (items < 0 || items > sizeBytes - unpacker.getTotalReadBytes()) {
-      throw new MalformedMessageException("longer than its message");
+  /** Reads a key of a map; returns null for one that is not text, which names no field. */
+  private String nameOrNull() throws IOException, MalformedMessageException {
+    if (input.nextType() == ValueType.STRING) {
+      return InternedNames.of(input.utf8());
     }
+    input.skipValue();
+    return null;
   }
 }
--- a/src/main/java/org/eiderstair/protocol/StoreMessages.java
+++ b/src/main/java/org/eiderstair/protocol/StoreMessages.java
@@ -54,12 +54,12 @@
 
   /** Returns the path for revoking a lease. */
   public static String leasePath(long lease) {
-    return LEASES_PATH + "/" + lease;
+    return LEASES_PATH + "/" + Long.toUnsignedString(lease);
   }
 
   /** Returns the path for renewing a lease. */
   public static String renewPath(long lease) {
-    return LEASES_PATH + "/" + lease + "/touch";
+    return leasePath(lease) + "/touch";
   }
 
   /** Encodes a transaction: a compare-and-swap of several keys. */
@@ -94,7 +94,7 @@
     fields.put(WireFields.PUT_KEY, write.key());
     fields.put(WireFields.VALUE, StoredValueCodec.encode(write.value()));
     if (write.leaseId() != 0) {
-      fields.put(WireFields.LEASE, write.leaseId());
+      fields.put(WireFields.LEASE, Fields.unsigned(write.leaseId()));
     }
     return fields;
   }
@@ -124,7 +124,7 @@
   /** Decodes the answer to a request for a lease. */
   public static Reply decodeLeaseGranted(Map<String, Object> message)
       throws MalformedMessageException {
-    return new Reply.LeaseGranted(new Fields(message).count(WireFields.LEASE));
+    return new Reply.LeaseGranted(new Fields(message).identifier(WireFields.LEASE));
   }
 
   /** Decodes a key that exists, with its value and version. */
--- a/src/main/java/org/eiderstair/protocol/UserMessages.java
+++ b/src/main/java/org/eiderstair/protocol/UserMessages.java
@@ -3,14 +3,44 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.regex.Pattern;
 import org.eiderstair.core.message.Answer;
 import org.eiderstair.core.model.JobSpec;
 
 /** Encodes and decodes the messages exchanged with users: submissions, job states and errors. */
 public final class UserMessages {
-  /** The largest request body that is accepted from a user. */
-  public static final int MAX_BYTES = 64 * 1024;
+  /** The largest request body that is accepted from a user, as JSON. */
+  private static final int MAX_JSON_BYTES = 64 * 1024;
+
+  /**
+   * The largest request body as MessagePack. No value grows more than an item of a list that takes
+   * two bytes as JSON, such as {@code 0,}, and nine as MessagePack.
+   */
+  public static final int MAX_BYTES = MAX_JSON_BYTES / 2 * 9;
+
+  private static final Set<String> SUBMISSION_FIELDS =
+      Set.of(
+          WireFields.JOB_ID,
+          WireFields.JOB_CLASS,
+          WireFields.TEAM,
+          WireFields.SHAPE,
+          WireFields.PRIORITY,
+          WireFields.TASKS,
+          WireFields.CPUS,
+          WireFields.ACCELERATORS,
+          WireFields.MEMORY_GB,
+          WireFields.IMAGE,
+          WireFields.IMAGE_GB,
+          WireFields.MACHINE_TYPES,
+          WireFields.ZONE,
+          WireFields.ONE_ZONE,
+          WireFields.SPREAD,
+          WireFields.SPOT,
+          WireFields.ESTIMATE_SECONDS,
+          WireFields.CHECKPOINT_INTERVAL_SECONDS,
+          WireFields.CHECKPOINT_DURATION_SECONDS,
+          WireFields.DEADLINE_SECONDS);
 
   private static final int MAX_TASKS = 100_000;
   private static final int MAX_MACHINE_TYPES = 100;
@@ -49,6 +79,15 @@
     return JOB_ID_PATTERN.matcher(id).matches();
   }
 
+  /** Reads the fields of a submission; all others are skipped. */
+  public static Map<String, Object> readSubmission(byte[] body) throws MalformedMessageException {
+    Map<String, Object> message = MessagePackCodec.readMap(body, SUBMISSION_FIELDS, null);
+    if (body.length > MAX_JSON_BYTES && MessagePackCodec.jsonSizeBytes(body) > MAX_JSON_BYTES) {
+      throw new MalformedMessageException("body too long");
+    }
+    return message;
+  }
+
   /**
    * Decodes only the job id, so that a known job can be answered even if other fields are
    * malformed.
--- a/src/main/java/org/eiderstair/protocol/WorkerMessages.java
+++ b/src/main/java/org/eiderstair/protocol/WorkerMessages.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.eiderstair.core.model.FencingToken;
 import org.eiderstair.core.model.Heartbeat;
 import org.eiderstair.core.model.Heartbeat.Entry;
@@ -46,6 +47,19 @@
           "no_such",
           Exit.UNKNOWN_JOB);
 
+  private static final Set<String> HEARTBEAT_FIELDS =
+      Set.of(
+          WireFields.MACHINE,
+          WireFields.ADDRESS,
+          WireFields.MACHINE_TYPE,
+          WireFields.ZONE,
+          WireFields.SPOT,
+          WireFields.INCARNATION,
+          WireFields.SEQUENCE,
+          WireFields.FENCING_TOKEN,
+          WireFields.SPOT_NOTICE_SECONDS,
+          WireFields.TASKS);
+
   private static final String LAUNCH = "launch";
   private static final String KILL = "kill";
   private static final String ACKNOWLEDGE = "reap";
@@ -115,11 +129,11 @@
     }
 
     /**
-     * Returns the reason why a task ended. An unknown reason counts as an error, because only
-     * {@link Exit#DONE} means that the task completed.
+     * Returns the reason why a task ended. A reason that is unknown, unreadable or missing counts
+     * as an error, because only {@link Exit#DONE} means that the task completed.
      */
-    private static Exit exit(Object value) throws MalformedMessageException {
-      return EXITS.getOrDefault(Fields.text(value, WireFields.EXIT), Exit.ERROR);
+    private static Exit exit(Object value) {
+      return value instanceof String text ? EXITS.getOrDefault(text, Exit.ERROR) : Exit.ERROR;
     }
 
     /**
@@ -142,7 +156,7 @@
   /** Decodes and checks a worker's heartbeat. */
   public static Heartbeat decodeHeartbeat(byte[] body) throws MalformedMessageException {
     TaskRowReader rowReader = new TaskRowReader();
-    Fields fields = new Fields(MessagePackCodec.readMap(body, rowReader));
+    Fields fields = new Fields(MessagePackCodec.readMap(body, HEARTBEAT_FIELDS, rowReader));
     List<Entry> tasks = rowReader.entries(fields.list(WireFields.TASKS));
     return new Heartbeat(
         fields.text(WireFields.MACHINE),
@@ -153,10 +167,17 @@
         fields.count(WireFields.INCARNATION),
         fields.count(WireFields.SEQUENCE),
         new FencingToken(fields.count(WireFields.FENCING_TOKEN)),
-        fields.microsOrDefault(WireFields.SPOT_NOTICE_SECONDS, Heartbeat.NO_NOTICE),
+        noticeMicros(fields),
         tasks);
   }
 
+  /** Returns the time until the machine is taken away; 0 when that time has passed. */
+  private static long noticeMicros(Fields fields) throws MalformedMessageException {
+    boolean passed =
+        fields.raw(WireFields.SPOT_NOTICE_SECONDS) instanceof Number n && n.doubleValue() < 0;
+    return passed ? 0 : fields.microsOrDefault(WireFields.SPOT_NOTICE_SECONDS, Heartbeat.NO_NOTICE);
+  }
+
   /** Encodes the answer to a heartbeat, which carries orders for the worker. */
   public static byte[] encodeHeartbeatAnswer(FencingToken fencingToken, List<Order> orders) {
     Map<String, Object> message = new LinkedHashMap<>();
