--- a/src/main/java/org/eiderstair/http/ServerConnection.java
+++ b/src/main/java/org/eiderstair/http/ServerConnection.java
@@ -347,8 +347,7 @@
   @Override
   public void startRequest(String requestMethod, String uri, HttpVersion version) {
     method = requestMethod;
-    int query = uri.indexOf('?');
-    path = query < 0 ? uri : uri.substring(0, query);
+    path = RequestTarget.path(uri);
     keepAlive = version == HttpVersion.HTTP_1_1;
   }
 
--- a/src/test/java/org/eiderstair/http/ServerConnectionTest.java
+++ b/src/test/java/org/eiderstair/http/ServerConnectionTest.java
@@ -154,6 +154,24 @@
     assertEquals("HTTP/1.1 200 OK", exchange("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n", 0));
   }
 
+  @Example
+  void pathIsReadInEveryFormOfTheRequestTarget() throws Exception {
+    for (String target :
+        List.of(
+            "/work/job-000001",
+            "/work/job%2D000001",
+            "/%77ork/job-000001?x=%20",
+            "http://a/work/job-000001",
+            "http://a:80/work/job%2d000001?x=1")) {
+      assertEquals(
+          "HTTP/1.1 200 OK", exchange("GET " + target + " HTTP/1.1\r\nhOST: a\r\n\r\n", 0), target);
+    }
+    for (String target : List.of("/work/job%2", "http:", "*", "/work/%00")) {
+      String answer = exchange("GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n", 0);
+      assertTrue(answer.startsWith("HTTP/1.1 4"), target + ": " + answer);
+    }
+  }
+
   /**
    * Guards against many large bodies that together exhaust the memory of a small machine. A body
    * beyond the limit is refused, and requests within the limit are still answered.
